--- /dev/null
+++ b/stoneyoke/__init__.py
@@ -0,0 +1,1 @@
+"""stoneyoke: a gateway that holds customers to their quotas before a shared back end."""
--- /dev/null
+++ b/stoneyoke/interface.py
@@ -0,0 +1,240 @@
+"""What the control module is given at start, what it is told, and what it may ask for. No logic here.
+
+Times are whole microseconds. RPCs, backends and customers are small indices, handed out at the door.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+
+
+class Effect(Enum):
+    IDEMPOTENT = "idempotent"
+    DEDUPLICATED = "deduplicated"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class Group(Enum):
+    """Which backends drop repeats of a deduplicated RPC."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How a call-out ended. The first five may have run; the last three never did."""
+
+    OK = "ok"
+    ERROR = "error"
+    TIMED_OUT = "timed out"
+    BROKEN = "broken"
+    CALLED_OFF = "called off"
+    TURNED_AWAY = "turned away"
+    NO_CONNECTION = "no connection"
+    NOT_SENT = "not sent"
+
+
+class State(IntEnum):
+    READY = 0
+    GONE = 2
+    DRAINING = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Method:
+    name: str
+    effect: Effect
+    group: Group
+    soft_us: int
+    memory_us: int
+    utility: float
+    stream: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One customer plan: quota, burst, ceiling and the number of call-outs out at once."""
+
+    name: str
+    rate: float
+    burst: float
+    price: float
+    beyond_earns: float
+    overrun_cost: float
+    parallel: int
+    ceiling_rate: float
+    ceiling_burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What holds for the whole life of one gateway instance."""
+
+    seed: int
+    gateways: int
+    own_index: int
+    zone: int
+    methods: tuple[Method, ...]
+    plans: tuple[Plan, ...]
+    call_outs_max: int
+    can_call_off: bool
+    can_probe: bool
+    has_counter: bool
+    settles: bool
+    must_subscribe: bool
+    ask_within_us: int
+    units_top: float
+    cold_share: float
+    warm_up_us: int
+    push_over_factor: float
+    push_over_us: int
+    report_fields: tuple[str, ...] = ()
+
+
+# ---- events: what the control module is told ----
+
+
+@dataclass(slots=True)
+class Arrival:
+    """An RPC that now needs exactly one final answer."""
+
+    rpc: int
+    method: int
+    plan: int
+    customer: int
+    account: int  # the customer's number, the same at every gateway
+    wait_us: int  # how long the client still waits
+    units: float
+    width: float  # gateways that this customer's RPCs come through
+    first: float
+    repeat: bool
+
+
+@dataclass(slots=True)
+class StreamBegun:
+    rpc: int
+    n: int
+
+
+@dataclass(slots=True)
+class CallOutEnded:
+    rpc: int
+    n: int
+    backend: int
+    outcome: Outcome
+    closed: bool  # nothing more is owed for the RPC
+    latency_us: int
+    units: float  # the true cost where units are settled afterwards, else 0
+    load: tuple[float, ...]
+
+
+@dataclass(slots=True)
+class ClientGone:
+    rpc: int
+
+
+@dataclass(slots=True)
+class CountAnswer:
+    name: int
+    added: bool
+    total: float
+
+
+@dataclass(slots=True)
+class ProbeAnswer:
+    backend: int
+    outcome: Outcome
+    latency_us: int
+    load: tuple[float, ...]
+
+
+@dataclass(slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    backend: int
+    zone: int
+    cell: int
+    size: float
+    started_us: int
+    state: State
+
+
+@dataclass(slots=True)
+class FleetNews:
+    """A list of backends: whole, or only what changed. failed: the call for it failed, the old one stays."""
+
+    whole: bool
+    failed: bool
+    entries: list[Listed] = field(default_factory=list)
+
+
+Event = Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | ProbeAnswer | TimerFired | FleetNews
+
+
+# ---- actions: what the control module asks for ----
+
+
+@dataclass(slots=True)
+class CallOut:
+    rpc: int
+    backend: int
+    limit_us: int  # 0: as long as the client waits
+
+
+@dataclass(slots=True)
+class PushBack:
+    rpc: int
+    wait_us: int
+
+
+@dataclass(slots=True)
+class Abort:
+    rpc: int
+
+
+@dataclass(slots=True)
+class CallOff:
+    rpc: int
+    n: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    delay_us: int
+    token: int
+
+
+@dataclass(slots=True)
+class Probe:
+    backend: int
+
+
+@dataclass(slots=True)
+class AddCount:
+    name: int
+    life_us: int
+    amount: float
+
+
+@dataclass(slots=True)
+class Subscribe:
+    pass
+
+
+@dataclass(slots=True)
+class Forget:
+    """The door may give this customer's index to another."""
+
+    customer: int
+
+
+@dataclass(slots=True)
+class Note:
+    text: str
+
+
+Action = CallOut | PushBack | Abort | CallOff | SetTimer | Probe | AddCount | Subscribe | Forget | Note
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,178 @@
+"""Plain cases of the mechanism and the rules."""
+
+import pytest
+from helpers import METHODS, START, Bench, of, plan, sent
+
+from stoneyoke.interface import (
+    Abort, AddCount, Arrival, CallOff, CallOut, CountAnswer, FleetNews, Forget, Listed, Outcome, PushBack, State,
+    Subscribe,
+)
+
+
+def drain(bench, **call):
+    """RPCs until the store is empty; the first pushback ends it."""
+    while not (refused := of(PushBack, bench.arrive(**call))):
+        bench.end(bench.next_rpc, 0, sent([a for _, a in bench.log])[-1].backend)
+    return refused[0]
+
+
+def test_over_quota_is_pushed_back_at_once_with_the_time_the_store_needs():
+    bench = Bench()
+    wait = drain(bench).wait_us
+    assert len(sent([a for _, a in bench.log])) == 4  # a third of the burst
+    assert 750_000 <= wait <= 1_750_000  # a unit at a third of 4 a second, and up to a second of jitter
+
+
+def test_what_can_never_fit_is_told_the_longest_wait():
+    refused = of(PushBack, Bench().arrive(units=50.0))
+    assert 20_000_000 <= refused[0].wait_us <= 40_000_000
+
+
+def test_early_returners_get_double_waits_then_a_block_and_what_fits_passes():
+    bench = Bench()
+    drain(bench)
+    waits = [of(PushBack, bench.arrive())[0].wait_us for _ in range(40)]
+    assert max(waits[-5:]) >= 5_000_000 > max(waits[:5])
+    bench.pass_time(1_500_000)
+    assert sent(bench.arrive())
+
+
+def count_all(total):
+    def answer(action):
+        return CountAnswer(action.name, True, total) if isinstance(action, AddCount) and not action.amount else None
+    return answer
+
+
+@pytest.mark.parametrize("total, slice_", [(20.0, None), (0.5, 1 / 3), (1e9, 1 / 30)])
+def test_slice_is_own_part_of_the_finished_second_with_a_floor_and_lost_counts_change_nothing(total, slice_):
+    bench = Bench()
+    drain(bench)
+    own = bench.next_rpc
+    bench.pass_time(2_000_000, count_all(total))
+    assert bench.gateway.customers[0].slice == pytest.approx(slice_ or own / total)
+
+
+def test_a_growing_slice_mints_no_units():
+    bench = Bench()
+    drain(bench)
+    customer = bench.gateway.customers[0]
+    customer.take_slice(1.0, bench.now)
+    assert customer.store.level < 1
+
+
+def test_silent_counter_leads_back_to_the_even_slice():
+    bench = Bench()
+    drain(bench)
+    bench.pass_time(2_000_000, count_all(20.0))
+    bench.pass_time(8_000_000)
+    assert bench.gateway.customers[0].slice == pytest.approx(1 / 3)
+
+
+def test_idle_customers_are_forgotten():
+    bench = Bench()
+    for customer in range(50):
+        bench.arrive(customer=customer)
+        bench.end(bench.next_rpc, 0, sent([a for _, a in bench.log])[-1].backend)
+    assert len(of(Forget, bench.pass_time(20_000_000))) == 50 and not bench.gateway.customers
+
+
+def test_ceiling_starts_empty_so_a_restart_hands_out_nothing():
+    bench = Bench(plans=(plan(100.0, 100.0, ceiling_rate=3.0, ceiling_burst=30.0),))
+    assert of(PushBack, bench.arrive())
+    bench.pass_time(3_000_000)
+    assert [bool(sent(bench.arrive())) for _ in range(5)] == [True, True, True, False, False]
+
+
+def test_parallel_cap_counts_what_is_out_and_frees_it():
+    bench = Bench(plans=(plan(100.0, 300.0, parallel=6),))
+    assert [bool(sent(bench.arrive())) for _ in range(3)] == [True, True, False]
+    bench.end(1, 0, sent([a for _, a in bench.log])[0].backend)
+    assert sent(bench.arrive())
+
+
+@pytest.mark.parametrize("method, outcome, answer", [
+    (2, Outcome.ERROR, Abort), (2, Outcome.TIMED_OUT, Abort), (2, Outcome.NO_CONNECTION, CallOut),
+    (0, Outcome.ERROR, CallOut), (1, Outcome.BROKEN, CallOut), (3, Outcome.CALLED_OFF, CallOut),
+])
+def test_what_follows_a_failed_call_out(method, outcome, answer):
+    bench = Bench()
+    first = sent(bench.arrive(method=method))[0]
+    after = bench.end(1, 0, first.backend, outcome)
+    assert isinstance(after[0], answer)
+    if method == 1:
+        assert after[0].backend % 2 == first.backend % 2  # its zone
+
+
+def test_deduplicated_rpc_is_not_sent_past_the_memory_and_pushed_back_only_if_all_drop_repeats():
+    for method, answer in ((1, Abort), (3, PushBack)):
+        bench = Bench()
+        first = sent(bench.arrive(method=method, wait=6_000_000))[0]
+        bench.now += METHODS[method].memory_us
+        assert isinstance(bench.end(1, 0, first.backend, Outcome.ERROR)[0], answer)
+
+
+def test_timed_out_at_the_deadline_still_gets_an_answer():
+    bench = Bench()
+    first = sent(bench.arrive(method=2))[0]
+    bench.now += 2_500_000
+    assert of(Abort, bench.end(1, 0, first.backend, Outcome.TIMED_OUT, closed=False))
+
+
+def test_a_draining_backend_gets_nothing_new_and_an_empty_fleet_is_answered():
+    bench = Bench(fleet=1)
+    bench.tell(FleetNews(False, False, [Listed(0, 0, 0, 1.0, 0, State.DRAINING)]))
+    assert of(PushBack, bench.arrive())
+
+
+def test_cold_backend_gets_a_counted_few_in_a_window():
+    bench = Bench(fleet=1, started={0: START}, plans=(plan(1000.0, 3000.0),))
+    assert len([1 for _ in range(30) if sent(bench.arrive())]) == 1
+
+
+def test_quiet_backend_loses_what_may_be_repeated():
+    bench = Bench()
+    first = sent(bench.arrive())[0]
+    off = of(CallOff, bench.pass_time(1_500_000))
+    assert off and off[0].n == 0
+    again = sent(bench.end(1, 0, first.backend, Outcome.CALLED_OFF))
+    assert again and again[0].backend != first.backend
+
+
+def test_settled_units_are_taken_or_given_back():
+    bench = Bench(settles=True)
+    first = sent(bench.arrive())[0]
+    bench.end(1, 0, first.backend, units=7.0)
+    assert bench.gateway.customers[0].store.level == pytest.approx(4 - 7)
+
+
+def test_unreadable_costs_and_totals_poison_nothing():
+    bench = Bench()
+    for units in (float("nan"), float("inf"), 0.0, -3.0):
+        bench.arrive(units=units)
+    bench.pass_time(2_000_000, count_all(float("nan")))
+    assert 0 <= bench.gateway.customers[0].store.level <= 4 and bench.gateway.customers[0].slice == 1 / 3
+
+
+def test_late_events_on_ended_rpcs_are_ignored():
+    bench = Bench()
+    first = sent(bench.arrive())[0]
+    bench.end(1, 0, first.backend)
+    assert not bench.end(1, 0, first.backend) and not bench.tell(CountAnswer(5, True, 1.0))
+
+
+def test_a_lost_subscription_is_asked_for_again():
+    bench = Bench(must_subscribe=True, ask_within_us=10_000_000)
+    assert of(Subscribe, bench.pass_time(100_000))
+    bench.tell(FleetNews(False, True))
+    assert of(Subscribe, bench.pass_time(2_000_000))
+
+
+def test_same_events_same_actions():
+    logs = []
+    for _ in range(2):
+        bench = Bench()
+        for i in range(60):
+            bench.tell(Arrival(i, i % 4, 0, i % 3, i % 3, 2_500_000, 1.0, 3.0, 0.0, False))
+        bench.pass_time(3_000_000, count_all(9.0))
+        logs.append(bench.log)
+    assert logs[0] == logs[1]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,124 @@
+"""Seeded random runs: the five rules hold after every step, whatever the outcomes."""
+
+from helpers import METHODS, Bench, plan
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stoneyoke.interface import (
+    Abort, CallOff, CallOut, ClientGone, Effect, FleetNews, Group, Listed, Outcome, PushBack, State,
+)
+
+UNRUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+STEP = st.one_of(
+    st.tuples(st.just("arrive"), st.integers(0, 3), st.integers(0, 2)),
+    st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(Outcome)),
+    st.tuples(st.just("pass"), st.integers(1, 40), st.none()),
+    st.tuples(st.just("list"), st.integers(0, 5), st.sampled_from(State)),
+    st.tuples(st.just("gone"), st.integers(0, 50), st.none()),
+)
+CEILING = dict(ceiling_rate=6.0, ceiling_burst=18.0)
+
+
+class Judge(Bench):
+    def __init__(self):
+        super().__init__(plans=(plan(40.0, 120.0, **CEILING),), gateways=3)
+        self.rpcs = {}  # rpc -> method, customer, deadline, call-outs [(backend, time, outcome)], ended
+        self.state = dict.fromkeys(range(6), State.READY)
+        self.ceilings = {}
+
+    def check(self, before):
+        for at, action in self.log[before:]:
+            if isinstance(action, CallOut | PushBack | Abort):
+                rpc = self.rpcs[action.rpc]
+                assert not rpc["ended"], "more than one final answer, or a call-out after it"
+                method = METHODS[rpc["method"]]
+                ran = [c for c in rpc["outs"] if c[2] not in UNRUN]
+                if isinstance(action, CallOut):
+                    assert all(c[2] for c in rpc["outs"]), "two call-outs at once"
+                    assert self.state[action.backend] is State.READY
+                    assert at < rpc["deadline"]
+                    if ran and method.effect is Effect.DEDUPLICATED:
+                        assert at <= ran[0][1] + method.memory_us
+                        assert method.group is Group.ALL or action.backend % 2 == ran[0][0] % 2
+                    assert not (ran and method.effect is Effect.NON_IDEMPOTENT)
+                    if not rpc["outs"]:
+                        level, last = self.ceilings.get(rpc["customer"], (0.0, self.log[0][0]))
+                        level = min(6.0, level + 2.0 * (at - last) / 1e6) - 1
+                        assert level >= -1e-6, "ceiling passed"
+                        self.ceilings[rpc["customer"]] = level, at
+                    rpc["outs"].append([action.backend, at, None])
+                else:
+                    rpc["ended"] = True
+                    if isinstance(action, PushBack) and ran:
+                        assert method.effect is not Effect.NON_IDEMPOTENT
+                        assert method.effect is Effect.IDEMPOTENT or method.group is Group.ALL
+        for number, rpc in self.rpcs.items():
+            if not rpc["ended"]:
+                assert any(c[2] is None for c in rpc["outs"]), f"RPC {number} is held with nothing out"
+
+    def step(self, what, number, detail):
+        before = len(self.log)
+        if what == "arrive":
+            self.rpcs[self.next_rpc + 1] = dict(
+                method=number, customer=detail, deadline=self.now + 2_500_000, outs=[], ended=False)
+            self.arrive(number, detail)
+        elif what == "end":
+            out = [(r, n) for r, rpc in self.rpcs.items() for n, c in enumerate(rpc["outs"]) if c[2] is None]
+            if out:
+                self.finish(*out[number % len(out)], detail)
+        elif what == "pass":
+            for _ in range(number):
+                self.pass_time(50_000)
+                for r, rpc in self.rpcs.items():
+                    if not rpc["ended"] and self.now >= rpc["deadline"]:
+                        self.finish(r, len(rpc["outs"]) - 1, Outcome.TIMED_OUT)
+        elif what == "list":
+            self.state[number] = detail
+            self.tell(FleetNews(False, False, [Listed(number, number % 2, number % 3, 1.0, 0, detail)]))
+        elif self.rpcs:
+            rpc = list(self.rpcs)[number % len(self.rpcs)]
+            self.rpcs[rpc]["ended"] = True
+            self.tell(ClientGone(rpc))
+        self.check(before)
+
+    def finish(self, r, n, outcome):
+        rpc = self.rpcs[r]
+        rpc["outs"][n][2] = outcome
+        done = rpc["ended"] or outcome is Outcome.OK
+        rpc["ended"] = done
+        self.end(r, n, rpc["outs"][n][0], outcome, closed=done)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(st.lists(STEP, max_size=60))
+def test_rules_hold_after_every_step(steps):
+    judge = Judge()
+    for step in steps:
+        judge.step(*step)
+    for rpc in list(judge.rpcs):  # all that is still out ends, and nothing is left behind
+        while any(c[2] is None for c in judge.rpcs[rpc]["outs"]):
+            before = len(judge.log)
+            n = next(i for i, c in enumerate(judge.rpcs[rpc]["outs"]) if c[2] is None)
+            judge.finish(rpc, n, Outcome.OK)
+            judge.check(before)
+    assert not judge.gateway.open
+    assert all(not of.n < 0 for _, of in judge.log if isinstance(of, CallOff))
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.integers(0, 400), max_size=80))
+def test_a_cold_backend_never_gets_more_than_its_budget_in_a_window(gaps):
+    bench = Bench(fleet=6, started={0: 1_000_000_000_000}, plans=(plan(9000.0, 9000.0),))
+    times, rpc = [], 0
+    for gap in gaps:
+        bench.pass_time(gap * 1000)
+        for action in bench.arrive():
+            if isinstance(action, CallOut):
+                rpc = bench.next_rpc
+                bench.end(rpc, 0, action.backend)
+                if action.backend == 0:
+                    times.append(bench.now)
+    warm = max((b.rate for b in bench.gateway.backends.values()), default=0)
+    for at in times:
+        window = [t for t in times if at <= t < at + 1_500_000]
+        assert len(window) <= max(1, 2.0 * max(1.0, warm) * 1.5)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,77 @@
+"""The simulator's wire: frames by hand, and what is malformed."""
+
+import io
+import json
+import struct
+
+import pytest
+
+from stoneyoke.simhost.host import serve
+from stoneyoke.simhost.wire import Malformed
+
+START = {
+    "balancers": 1, "self-index": 0, "zone": 0, "discovery": "automatic", "new-key": [1],
+    "caps": {"cancel": True, "try-limit": 5}, "extra": {"units-top": 1, "has-counter": False},
+    "rules": {"cold-from": 0.2, "ramp-time-us": 1, "overload-factor": 2.0, "overload-for-us": 1},
+    "classes": [{"effect": "idempotent", "aim-us": 1000000, "gain": 1.0, "name": "a"}],
+    "tariffs": [{"units-per-s": 2.0, "depth": 4.0, "worth-factor": 1.0, "beyond-earns": 0.0, "overrun-cost": 0.0,
+                 "parallel": 0, "cap-rate": 0.0, "cap-depth": 0.0}],
+}
+
+
+def frame(records, tail=b"", number=1, clock=5_000_000):
+    body = b"".join(r.ljust(40, b"\0") for r in records) + tail
+    return struct.pack("<IIQI", number, len(body), clock, len(records)) + body
+
+
+def spawn(start=START):
+    text = json.dumps(start).encode()
+    entry = struct.pack("<HHHfIQB", 0, 0, 0, 1.0, 77, 0, 0)
+    return frame([
+        struct.pack("<BHQII", 1, 3, 9, 0, len(text)), struct.pack("<BIII", 12, 0, len(text), 1),
+        struct.pack("<BHBQI", 2, 3, 2, 1, 0),
+    ], text + entry)
+
+
+def arrival(units=1.0):
+    return struct.pack("<BHIHIQIfffB", 3, 3, 0xABCD, 0, 0, 2**33 - 1, 500_000, units, 1.0, 0.0, 0)
+
+
+def replies(data):
+    sink = io.BytesIO()
+    serve(io.BytesIO(data), sink)
+    out, at, raw = [], 0, sink.getvalue()
+    while at < len(raw):
+        number, size, count = struct.unpack_from("<III", raw, at)
+        body = raw[at + 12 : at + 12 + size]
+        out.append((number, [body[i * 24 : i * 24 + 24] for i in range(count)], body[count * 24 :]))
+        at += 12 + size
+    return out
+
+
+def test_an_rpc_is_sent_on_and_a_dear_one_pushed_back():
+    _, (number, records, _) = replies(spawn() + frame([arrival()], number=2))
+    assert number == 2 and struct.unpack_from("<BHII", records[-1]) == (1, 3, 0xABCD, 77)
+    _, (_, records, _) = replies(spawn() + frame([arrival(units=9.0)], number=2))
+    assert struct.unpack_from("<BHI", records[-1]) == (2, 3, 0xABCD)
+
+
+def test_empty_batch_and_clean_end():
+    assert replies(frame([])) == [(1, [], b"")]
+
+
+@pytest.mark.parametrize("data, says", [
+    (frame([])[:9], "truncated header"), (spawn()[:-5], "truncated frame 1"),
+    (frame([b"\x63"]), "record 0: unknown event code 99"),
+    (frame([struct.pack("<BIII", 12, 0, 400, 2)]), "beyond a tail"),
+    (struct.pack("<IIQI", 1, 40, 0, 2) + bytes(40), "2 records don't fit"),
+])
+def test_malformed_frames_end_it_with_a_plain_line(data, says):
+    with pytest.raises(Malformed, match=says):
+        replies(data)
+
+
+@pytest.mark.parametrize("broken", [{"tariffs": None}, {"balancers": 0}, {"classes": [{"effect": "odd"}]}])
+def test_a_start_message_that_lacks_something_is_a_fault_that_names_it(broken):
+    _, records, tail = replies(spawn(START | broken))[0]
+    assert records[0][0] == 10 and repr(next(iter(broken))).strip("'") in tail.decode() or b"effect" in tail
