--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -304,7 +304,7 @@
         for customer in list(self.customers.values()):
             customer.told, customer.demand = customer.demand, 0.0
             plan = customer.plan
-            if plan.rate > 0 and customer.store.fill(self.now) < 0.5 * customer.store.depth:
+            if plan.rate > 0 and customer.store.fill(self.now) < 0.75 * customer.store.depth:
                 customer.counting_until = self.now + 3 * SECOND
             if self.now - customer.heard > 4 * SECOND and customer.slice != customer.even:
                 customer.own = customer.total = 0.0
@@ -322,10 +322,10 @@
         """Beats 1 to 8 of a second add, beats 11 to 18 read; customers are spread over them by account."""
         second, beat = self.now // SECOND - 1, self.beat
         for customer in self.customers.values():
-            if customer.told <= 0 or self.now >= customer.counting_until or customer.even == 1:
+            if self.now >= customer.counting_until or customer.even == 1:
                 continue
             slot, name = customer.account % 8, self.count_name(customer, second)
-            if beat == 1 + slot:
+            if beat == 1 + slot and customer.told > 0:
                 self.actions.append(AddCount(name, 5 * SECOND, customer.told))
             elif beat == 11 + slot:
                 self.reads[name] = (customer.index, customer.told)
@@ -341,9 +341,10 @@
         if answer.total < own * 0.999:  # lost counts: as if the counter were silent
             return
         customer.heard = self.now
-        customer.own = 0.5 * customer.own + own
-        customer.total = 0.5 * customer.total + answer.total
-        customer.take_slice(min(1.0, customer.own / customer.total), self.now)
+        customer.own = 0.7 * customer.own + own
+        customer.total = 0.7 * customer.total + answer.total
+        if customer.total > 0:
+            customer.take_slice(min(1.0, customer.own / customer.total), self.now)
 
     # ---- choice of backend ----
 
