Store depth rounded up by one largest RPC; a slice is kept 20 s when nothing is asked

Cause: units come in lumps, and a thin slice (a third of four units) refuses a customer's second RPC while its global store is near full; and slices fell back to even 4 s after demand paused, losing units each time.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -76,7 +76,7 @@
         self.even = 1 / min(width, terms.gateways)
         self.units_top = min(plan.burst, max(terms.units_top, 1))
         self.slice = self.even
-        self.store = Store(plan.rate * self.even, self.depth(), plan.burst * self.even, now)
+        self.store = Store(plan.rate * self.even, self.depth(), self.depth(), now)
         # Rule 5: a restarted gateway can't know what its earlier life sent, so the ceiling starts empty
         # at the start of this life and only time fills it; a customer seen later finds what time has brought.
         rate, depth = plan.ceiling_rate * self.even, plan.ceiling_burst * self.even
@@ -92,7 +92,7 @@
 
     def depth(self) -> float:
         # A slice thinner than the largest RPC would shut that RPC out for good; depth alone mints nothing.
-        return max(self.plan.burst * self.slice, self.units_top)
+        return min(self.plan.burst, self.plan.burst * self.slice + self.units_top)
 
     def take_slice(self, part: float, now: int) -> None:
         self.slice = max(part, self.even / 10)
@@ -304,9 +304,9 @@
         for customer in list(self.customers.values()):
             customer.told, customer.demand = customer.demand, 0.0
             plan = customer.plan
-            if plan.rate > 0 and customer.store.fill(self.now) < 0.75 * customer.store.depth:
+            if plan.rate > 0 and customer.store.fill(self.now) < 0.5 * customer.store.depth:
                 customer.counting_until = self.now + 3 * SECOND
-            if self.now - customer.heard > 4 * SECOND and customer.slice != customer.even:
+            if self.now - customer.heard > 20 * SECOND and customer.slice != customer.even:
                 customer.own = customer.total = 0.0
                 customer.take_slice(customer.even, self.now)
             self.sweep(customer)
