--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -70,12 +70,12 @@
 class Customer:
     """A customer at this gateway. Emptied out by sweep() once its store is full and it has been idle."""
 
-    def __init__(self, call: Arrival, plan: Plan, terms: Terms, now: int, born: int) -> None:
+    def __init__(self, call: Arrival, plan: Plan, terms: Terms, lump: float, now: int, born: int) -> None:
         self.index, self.account, self.plan = call.customer, call.account, plan
         width = call.width if math.isfinite(call.width) and call.width >= 1 else terms.gateways
         self.even = 1 / min(width, terms.gateways)
         self.units_top = min(plan.burst, max(terms.units_top, 1))
-        self.slice = self.even
+        self.slice, self.lump = self.even, lump
         self.store = Store(plan.rate * self.even, self.depth(), self.depth(), now)
         # Rule 5: a restarted gateway can't know what its earlier life sent, so the ceiling starts empty
         # at the start of this life and only time fills it; a customer seen later finds what time has brought.
@@ -91,8 +91,9 @@
         self.tries = self.early = self.step = 0
 
     def depth(self) -> float:
-        # A slice thinner than the largest RPC would shut that RPC out for good; depth alone mints nothing.
-        return min(self.plan.burst, self.plan.burst * self.slice + self.units_top)
+        # Units come in lumps: a slice is rounded up by one mean RPC, and holds the largest, which a thinner
+        # one would shut out for good. Refill stays the slice's, so over time nothing is minted.
+        return min(self.plan.burst, max(self.plan.burst * self.slice + self.lump, self.units_top))
 
     def take_slice(self, part: float, now: int) -> None:
         self.slice = max(part, self.even / 10)
@@ -152,6 +153,7 @@
         self.order: list[Backend] = []
         self.reads: dict[int, tuple[int, float]] = {}  # count name -> customer, own demand; dropped when answered
         self.beat = 0
+        self.lump = 1.0  # running mean of the RPCs' cost
         self.subscribe_at = now if terms.must_subscribe else 0
         self.actions: list[Action] = []
         self.ticking = False
@@ -243,11 +245,12 @@
     def customer(self, call: Arrival) -> Customer:
         customer = self.customers.get(call.customer)
         if customer is None:
-            customer = Customer(call, self.terms.plans[call.plan], self.terms, self.now, self.born)
+            customer = Customer(call, self.terms.plans[call.plan], self.terms, self.lump, self.now, self.born)
             self.customers[call.customer] = customer
-        customer.seen = self.now
+        customer.seen, customer.lump = self.now, self.lump
         if not math.isfinite(call.units) or call.units <= 0:
             call.units = max(1.0, self.terms.units_top)  # an unreadable cost counts as the dearest
+        self.lump += (call.units - self.lump) * 0.02
         return customer
 
     def quota_wait(self, customer: Customer, call: Arrival) -> int | None:
