--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -151,6 +151,7 @@
         self.customers: dict[int, Customer] = {}
         self.backends: dict[int, Backend] = {}
         self.order: list[Backend] = []
+        self.counter_heard = self.counter_asked = now
         self.reads: dict[int, tuple[int, float]] = {}  # count name -> customer, own demand; dropped when answered
         self.beat = 0
         self.lump = 1.0  # running mean of the RPCs' cost
@@ -309,11 +310,15 @@
             plan = customer.plan
             if plan.rate > 0 and customer.store.fill(self.now) < 0.5 * customer.store.depth:
                 customer.counting_until = self.now + 3 * SECOND
-            if self.now - customer.heard > 20 * SECOND and customer.slice != customer.even:
+            stale = 2 * SECOND if self.counter_silent() else 20 * SECOND
+            if self.now - customer.heard > stale and customer.slice != customer.even:
                 customer.own = customer.total = 0.0
                 customer.take_slice(customer.even, self.now)
             self.sweep(customer)
 
+    def counter_silent(self) -> bool:
+        return self.counter_asked - self.counter_heard > SECOND
+
     def sweep(self, customer: Customer) -> None:
         idle = self.now - customer.seen > 10 * SECOND and customer.out == 0
         if idle and customer.store.fill(self.now) >= customer.store.depth and (
@@ -329,12 +334,18 @@
                 continue
             slot, name = customer.account % 8, self.count_name(customer, second)
             if beat == 1 + slot and customer.told > 0:
-                self.actions.append(AddCount(name, 5 * SECOND, customer.told))
+                self.ask_counter(name, customer.told)
             elif beat == 11 + slot:
                 self.reads[name] = (customer.index, customer.told)
-                self.actions.append(AddCount(name, 5 * SECOND, 0.0))
+                self.ask_counter(name, 0.0)
+
+    def ask_counter(self, name: int, amount: float) -> None:
+        self.counter_asked = self.now
+        self.actions.append(AddCount(name, 5 * SECOND, amount))
 
     def counted(self, answer: CountAnswer) -> None:
+        if answer.added:
+            self.counter_heard = self.now
         if answer.name not in self.reads:
             return  # the answer to an addition
         index, own = self.reads.pop(answer.name)
