--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -6,7 +6,7 @@
 
 Mechanisms beside the design (at most six):
 1. ranked order   backends by measured pace, renewed by a timer, filled from the top, each up to a limit
-2. moving limit   call-outs out per backend grow on prompt answers and shrink on late ones or turn-aways
+2. room           call-outs out at once: shrinks while many answers are slow, grows when it binds
 3. quiet backend  one that answers nothing sinks in the order; repeatable RPCs are called off and sent on
 4. health         a backend whose share of failures is far above the fleet's median rests
 5. cold budget    call-outs to a fresh backend are counted in every window
@@ -106,13 +106,11 @@
 class Backend:
     """A listed backend as this gateway has measured it. Dropped when gone and nothing is out."""
 
-    def __init__(self, index: int, gateways: int) -> None:
+    def __init__(self, index: int) -> None:
         self.index, self.zone, self.cell, self.started, self.ready = index, 0, 0, 0, False
         self.gone = False
         self.out = 0
         self.pace = 1.0  # time taken, in means of its methods
-        self.limit = max(1.0, 12 / gateways)  # call-outs out at once; 12 in all hold a small machine for a start
-        self.cut_at = 0
         self.failures = 0.0  # decayed share of call-outs that failed
         self.rests_until = 0
         self.quiet_since = 0  # the last answer, or the first call-out after a pause
@@ -137,6 +135,7 @@
         self.outs: dict[int, tuple[int, int]] = {}  # call-out number -> backend, time
         self.sent = 0
         self.look_at = 0
+        self.slow_at = 0  # call-outs whose slowness has been counted
         self.ended = False
         self.streaming = False
         self.drawn = False
@@ -151,6 +150,8 @@
         self.customers: dict[int, Customer] = {}
         self.backends: dict[int, Backend] = {}
         self.order: list[Backend] = []
+        self.out, self.usual_out, self.room = 0, 4.0, 16.0
+        self.slow = 0.0  # decayed share of call-outs not answered within half the soft deadline
         self.counter_heard = self.counter_asked = now
         self.reads: dict[int, tuple[int, float]] = {}  # count name -> customer, own demand; dropped when answered
         self.beat = 0
@@ -213,9 +214,12 @@
             tried.add(backend.index)
             result = yield CallOut(call.rpc, backend.index, 0)
             while result is STILL_OUT:
-                self.cut(backend)
-                # Quiet backend: nothing has come back from it for as long as this call-out is out.
-                quiet = self.now - backend.quiet_since >= self.patience(call.method)
+                if rpc.slow_at < rpc.sent:
+                    rpc.slow_at = rpc.sent
+                    self.slow += (1 - self.slow) * 0.05
+                # Quiet backend: nothing has come back from it for as long as this call-out is out, while
+                # the fleet answers: in a jam of all, sending again would only feed it.
+                quiet = backend.band >= 3 and self.now - backend.quiet_since >= self.patience(call.method)
                 if quiet and method.effect is not Effect.NON_IDEMPOTENT and self.terms.can_call_off and (
                         self.may_repeat(method.effect, first_at + method.memory_us)):
                     result = yield CallOff(call.rpc, rpc.sent - 1)
@@ -238,8 +242,8 @@
         return effect is Effect.IDEMPOTENT or self.now < until
 
     def patience(self, method: int) -> int:
-        """How long a call-out is out before its backend is looked at: six means, a third of the soft dl."""
-        return int(max(6 * self.methods[method].mean, self.terms.methods[method].soft_us / 3))
+        """How long a call-out is out before it counts as slow and its backend is looked at."""
+        return self.terms.methods[method].soft_us // 2
 
     # ---- quotas ----
 
@@ -345,7 +349,9 @@
 
     def counted(self, answer: CountAnswer) -> None:
         if answer.added:
-            self.counter_heard = self.now
+            self.out, self.usual_out, self.room = 0, 4.0, 16.0
+        self.slow = 0.0  # decayed share of call-outs not answered within half the soft deadline
+        self.counter_heard = self.now
         if answer.name not in self.reads:
             return  # the answer to an addition
         index, own = self.reads.pop(answer.name)
@@ -365,9 +371,9 @@
     def choose(self, tried: set[int], home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
         best, best_fill = None, math.inf
-        # Limits may fall below one when many gateways share a small fleet; their sum holds all the same.
-        if sum(b.out for b in self.order) >= max(1.0, sum(b.limit for b in self.order)):
+        if self.out >= max(1.0, self.room):
             return None
+        limit = max(1.0, 2 * self.room / max(1, len(self.order)))
         for backend in self.order:
             if backend.index in tried or not self.usable(backend):
                 continue
@@ -376,7 +382,7 @@
             if home and group is Group.CELL and backend.cell != home.cell:
                 continue
             fill = backend.out + backend.band
-            if fill < best_fill and backend.out < backend.limit:
+            if fill < best_fill and backend.out < limit:
                 best, best_fill = backend, fill
         return best
 
@@ -451,6 +457,7 @@
             if backend.out == 0:
                 backend.quiet_since = self.now
             backend.out += 1
+            self.out += 1
             backend.rate += 0.4  # with a tenth lost each 250 ms: a running mean of call-outs a second
             if self.warmth(backend) < 1.0:
                 backend.cold_sent.append(self.now)
@@ -475,6 +482,7 @@
         index, sent_at = rpc.outs.pop(result.n)
         backend = self.backends[index]
         backend.out -= 1
+        self.out -= 1
         customer = self.customers[rpc.call.customer]
         customer.out -= 1
         if self.terms.settles and result.outcome is Outcome.OK and result.units > 0:
@@ -499,17 +507,18 @@
             backend.rests_until = self.now + SECOND
         elif result.outcome is not Outcome.NOT_SENT:
             backend.pace += (took / row.mean - backend.pace) * 0.15
-        if result.outcome is Outcome.OK and took < soft / 2:
-            if backend.out + 1 >= backend.limit - 1:
-                backend.limit = min(32.0, backend.limit + 0.1 / backend.limit)
-        elif took >= soft / 2 or result.outcome is Outcome.TURNED_AWAY:
-            self.cut(backend)
-
-    def cut(self, backend: Backend) -> None:
-        """A slow answer, or none yet: fewer out. 0.85 against 0.1 up holds slow answers near one in ten."""
-        if self.now - backend.cut_at > SECOND // 5:
-            backend.limit = max(0.25, backend.limit * 0.85)
-            backend.cut_at = self.now
+        if took < soft / 2 and result.outcome is not Outcome.NOT_SENT:
+            self.slow += ((result.outcome is Outcome.TURNED_AWAY) - self.slow) * 0.05
+
+    def move_room(self) -> None:
+        """Every 250 ms: fewer call-outs out while many answers are slow, more when the room is what binds."""
+        self.usual_out += (self.out - self.usual_out) * 0.1
+        if self.slow > 0.2:
+            self.room = max(1.0, min(self.room, self.out + 1) * 0.85)
+        elif self.out >= 0.8 * self.room and self.slow < 0.12:
+            self.room += 0.25 + 0.05 * self.room
+        # Room that is not used would let a sudden jam in unchecked.
+        self.room = min(self.room, 3 * self.usual_out + 4)
 
     def listed(self, news: FleetNews) -> None:
         if news.failed:
@@ -519,7 +528,7 @@
             for backend in self.backends.values():
                 backend.ready, backend.gone = False, True
         for entry in news.entries:
-            backend = self.backends.setdefault(entry.backend, Backend(entry.backend, self.terms.gateways))
+            backend = self.backends.setdefault(entry.backend, Backend(entry.backend))
             backend.zone, backend.cell, backend.started = entry.zone, entry.cell, entry.started_us
             backend.ready, backend.gone = entry.state is State.READY, entry.state is State.GONE
         self.renew_order()
@@ -533,6 +542,7 @@
         if self.terms.has_counter:
             self.count()
         if beat % 5 == 0:
+            self.move_room()
             self.renew_order()
             for index in [b.index for b in self.backends.values() if b.gone and not b.out]:
                 del self.backends[index]
