--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -151,7 +151,6 @@
         self.backends: dict[int, Backend] = {}
         self.order: list[Backend] = []
         self.out, self.usual_out, self.room = 0, 4.0, 16.0
-        self.slow = 0.0  # decayed share of call-outs not answered within half the soft deadline
         self.counter_heard = self.counter_asked = now
         self.reads: dict[int, tuple[int, float]] = {}  # count name -> customer, own demand; dropped when answered
         self.beat = 0
@@ -216,7 +215,7 @@
             while result is STILL_OUT:
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
-                    self.slow += (1 - self.slow) * 0.05
+                    self.shrink_room()
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
                 quiet = backend.band >= 3 and self.now - backend.quiet_since >= self.patience(call.method)
@@ -349,9 +348,7 @@
 
     def counted(self, answer: CountAnswer) -> None:
         if answer.added:
-            self.out, self.usual_out, self.room = 0, 4.0, 16.0
-        self.slow = 0.0  # decayed share of call-outs not answered within half the soft deadline
-        self.counter_heard = self.now
+            self.counter_heard = self.now
         if answer.name not in self.reads:
             return  # the answer to an addition
         index, own = self.reads.pop(answer.name)
@@ -507,17 +504,17 @@
             backend.rests_until = self.now + SECOND
         elif result.outcome is not Outcome.NOT_SENT:
             backend.pace += (took / row.mean - backend.pace) * 0.15
-        if took < soft / 2 and result.outcome is not Outcome.NOT_SENT:
-            self.slow += ((result.outcome is Outcome.TURNED_AWAY) - self.slow) * 0.05
+        if result.outcome is Outcome.TURNED_AWAY or took >= soft / 2 and rpc.slow_at < rpc.sent:
+            self.shrink_room()
+        elif took < soft / 2 and self.out >= 0.5 * self.room:
+            self.room *= 1.01  # against a tenth off: in balance with a tenth of the answers slow
+
+    def shrink_room(self) -> None:
+        self.room = max(1.0, 0.9 * min(self.room, 2 * self.out + 2))
 
     def move_room(self) -> None:
-        """Every 250 ms: fewer call-outs out while many answers are slow, more when the room is what binds."""
+        """Room that is not used would let a sudden jam in unchecked."""
         self.usual_out += (self.out - self.usual_out) * 0.1
-        if self.slow > 0.2:
-            self.room = max(1.0, min(self.room, self.out + 1) * 0.85)
-        elif self.out >= 0.8 * self.room and self.slow < 0.12:
-            self.room += 0.25 + 0.05 * self.room
-        # Room that is not used would let a sudden jam in unchecked.
         self.room = min(self.room, 3 * self.usual_out + 4)
 
     def listed(self, news: FleetNews) -> None:
