--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -507,10 +507,12 @@
         if result.outcome is Outcome.TURNED_AWAY or took >= soft / 2 and rpc.slow_at < rpc.sent:
             self.shrink_room()
         elif took < soft / 2 and self.out >= 0.5 * self.room:
-            self.room *= 1.01  # against a tenth off: in balance with a tenth of the answers slow
+            self.room *= 1.02  # against a tenth off: in balance with a sixth of the answers slow
 
     def shrink_room(self) -> None:
-        self.room = max(1.0, 0.9 * min(self.room, 2 * self.out + 2))
+        # One call-out a backend, shared by the gateways, never jams a fleet: no less than that.
+        least = max(1.0, 1.5 * len(self.order) / self.terms.gateways)
+        self.room = max(least, 0.9 * min(self.room, 2 * self.out + 2))
 
     def move_room(self) -> None:
         """Room that is not used would let a sudden jam in unchecked."""
