--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -86,6 +86,11 @@
         self.demand = self.told = 0.0  # this second's and the finished second's, in units
         self.own = self.total = 0.0  # decayed sums of counted seconds
         self.heard = -LONGEST_WAIT
+        # A thin even slice shows its demand only over seconds: long enough for two of the largest RPCs, 1 to 4.
+        # Read off the plan alone, so that all gateways agree; a second each doubled the calls for nothing.
+        fill = terms.units_top / max(plan.rate * self.even, 0.01)
+        self.period = min(4, max(1, math.ceil(2 * fill)))
+        self.due = False
         self.counting_until = 0
         self.advised_until = self.blocked_until = 0
         self.tries = self.early = self.step = 0
@@ -218,12 +223,12 @@
                     self.shrink_room()
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
-                quiet = backend.band >= 3 and self.now - backend.quiet_since >= self.patience(call.method)
+                quiet = backend.band >= 2 and self.now - backend.quiet_since >= self.patience(call.method)
                 if quiet and method.effect is not Effect.NON_IDEMPOTENT and self.terms.can_call_off and (
                         self.may_repeat(method.effect, first_at + method.memory_us)):
                     result = yield CallOff(call.rpc, rpc.sent - 1)
                 else:
-                    result = yield self.patience(call.method)
+                    result = yield self.patience(call.method) // 4
             if result.outcome is Outcome.OK and not result.closed:
                 break
             if result.outcome not in PROVEN_UNRUN:
@@ -308,11 +313,14 @@
 
     def close_second(self) -> None:
         """At each second's end: what was demanded becomes the finished second's figure."""
+        second = self.now // SECOND
         for customer in list(self.customers.values()):
-            customer.told, customer.demand = customer.demand, 0.0
+            customer.due = (second + customer.account) % customer.period == 0
+            if customer.due:
+                customer.told, customer.demand = customer.demand, 0.0
             plan = customer.plan
             if plan.rate > 0 and customer.store.fill(self.now) < 0.5 * customer.store.depth:
-                customer.counting_until = self.now + 3 * SECOND
+                customer.counting_until = self.now + (2 + customer.period) * SECOND
             stale = 2 * SECOND if self.counter_silent() else 20 * SECOND
             if self.now - customer.heard > stale and customer.slice != customer.even:
                 customer.own = customer.total = 0.0
@@ -331,9 +339,9 @@
 
     def count(self) -> None:
         """Beats 1 to 8 of a second add, beats 11 to 18 read; customers are spread over them by account."""
-        second, beat = self.now // SECOND - 1, self.beat
+        second, beat = self.now // SECOND, self.beat
         for customer in self.customers.values():
-            if self.now >= customer.counting_until or customer.even == 1:
+            if not customer.due or self.now >= customer.counting_until or customer.even == 1:
                 continue
             slot, name = customer.account % 8, self.count_name(customer, second)
             if beat == 1 + slot and customer.told > 0:
@@ -358,8 +366,8 @@
         if answer.total < own * 0.999:  # lost counts: as if the counter were silent
             return
         customer.heard = self.now
-        customer.own = 0.7 * customer.own + own
-        customer.total = 0.7 * customer.total + answer.total
+        customer.own = 0.6 * customer.own + own
+        customer.total = 0.6 * customer.total + answer.total
         if customer.total > 0:
             customer.take_slice(min(1.0, customer.own / customer.total), self.now)
 
@@ -416,7 +424,7 @@
         means = sum(m.mean for m in self.methods) / len(self.methods)
         paces = {}
         for backend in fleet:
-            quiet = (self.now - backend.quiet_since) / means / 3 if backend.out else 0
+            quiet = (self.now - backend.quiet_since) / means / 2 if backend.out else 0
             paces[backend.index] = max(backend.pace, quiet, 0.01)
             if not backend.out:
                 backend.pace += (1 - backend.pace) * 0.02
