--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -86,10 +86,10 @@
         self.demand = self.told = 0.0  # this second's and the finished second's, in units
         self.own = self.total = 0.0  # decayed sums of counted seconds
         self.heard = -LONGEST_WAIT
-        # A thin even slice shows its demand only over seconds: long enough for two of the largest RPCs, 1 to 4.
+        # A thin even slice shows its demand only over seconds: long enough for two of the largest RPCs, 1 or 2.
         # Read off the plan alone, so that all gateways agree; a second each doubled the calls for nothing.
         fill = terms.units_top / max(plan.rate * self.even, 0.01)
-        self.period = min(4, max(1, math.ceil(2 * fill)))
+        self.period = min(2, max(1, math.ceil(2 * fill)))
         self.due = False
         self.counting_until = 0
         self.advised_until = self.blocked_until = 0
@@ -247,7 +247,7 @@
 
     def patience(self, method: int) -> int:
         """How long a call-out is out before it counts as slow and its backend is looked at."""
-        return self.terms.methods[method].soft_us // 2
+        return self.terms.methods[method].soft_us * 3 // 5
 
     # ---- quotas ----
 
@@ -501,7 +501,7 @@
 
     def measure(self, backend: Backend, rpc: OpenRpc, result: CallOutEnded, sent_at: int) -> None:
         took, row = self.now - sent_at, self.methods[rpc.call.method]
-        soft = self.terms.methods[rpc.call.method].soft_us
+        slow = self.patience(rpc.call.method)
         if result.outcome in (Outcome.OK, Outcome.ERROR, Outcome.TURNED_AWAY):
             backend.quiet_since = self.now
         failed = result.outcome not in (Outcome.OK, Outcome.CALLED_OFF, Outcome.TURNED_AWAY, Outcome.NOT_SENT)
@@ -512,9 +512,9 @@
             backend.rests_until = self.now + SECOND
         elif result.outcome is not Outcome.NOT_SENT:
             backend.pace += (took / row.mean - backend.pace) * 0.15
-        if result.outcome is Outcome.TURNED_AWAY or took >= soft / 2 and rpc.slow_at < rpc.sent:
+        if result.outcome is Outcome.TURNED_AWAY or took >= slow and rpc.slow_at < rpc.sent:
             self.shrink_room()
-        elif took < soft / 2 and self.out >= 0.5 * self.room:
+        elif took < slow and self.out >= 0.5 * self.room:
             self.room *= 1.02  # against a tenth off: in balance with a sixth of the answers slow
 
     def shrink_room(self) -> None:
