--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -6,7 +6,7 @@
 
 Mechanisms beside the design (at most six):
 1. ranked order   backends by measured pace, renewed by a timer, filled from the top, each up to a limit
-2. room           call-outs out at once: moved by each one's time, to hold their mean well inside the soft deadline
+2. room           call-outs out at once, moved by each one's time to hold their mean well inside the soft dl
 3. quiet backend  one that answers nothing sinks in the order; repeatable RPCs are called off and sent on
 4. health         a backend whose share of failures is far above the fleet's median rests
 5. cold budget    call-outs to a fresh backend are counted in every window
@@ -86,7 +86,7 @@
         self.demand = self.told = 0.0  # this second's and the finished second's, in units
         self.own = self.total = 0.0  # decayed sums of counted seconds
         self.heard = -LONGEST_WAIT
-        # A thin even slice shows its demand only over seconds: long enough for two of the largest RPCs, 1 or 2.
+        # Seconds in which an even slice refills by two of the largest RPCs, 1 or 2: thin demand shows late.
         # Read off the plan alone, so that all gateways agree; a second each doubled the calls for nothing.
         fill = terms.units_top / max(plan.rate * self.even, 0.01)
         self.period = min(2, max(1, math.ceil(2 * fill)))
@@ -157,7 +157,7 @@
         self.order: list[Backend] = []
         self.out, self.usual_out, self.room = 0, 4.0, 16.0
         self.counter_heard = self.counter_asked = now
-        self.reads: dict[int, tuple[int, float]] = {}  # count name -> customer, own demand; dropped when answered
+        self.reads: dict[int, tuple[int, float]] = {}  # name -> customer, own demand; until answered
         self.beat = 0
         self.lump = 1.0  # running mean of the RPCs' cost
         self.subscribe_at = now if terms.must_subscribe else 0
@@ -516,7 +516,7 @@
             self.press(1.5 if away else min(1.5, took / self.terms.methods[rpc.call.method].soft_us))
 
     def press(self, taken: float) -> None:
-        """One more call-out's time, in soft deadlines. Held near 0.35: the fleet is full, few answers late."""
+        """One more call-out's time, in soft deadlines. Held near 0.35: the fleet full, few answers late."""
         # 0.02 a call-out: with some fifty answers a second, half a second of jam takes a third off.
         if self.out >= 0.5 * self.room:
             self.room *= 1 + 0.02 * (0.35 - taken)
@@ -530,7 +530,8 @@
 
     def listed(self, news: FleetNews) -> None:
         if news.failed:
-            self.subscribe_at = self.now + SECOND // 2 + self.chance.below(SECOND) if self.terms.must_subscribe else 0
+            if self.terms.must_subscribe:  # half a second to one and a half: the list service is shared
+                self.subscribe_at = self.now + SECOND // 2 + self.chance.below(SECOND)
             return
         if news.whole:
             for backend in self.backends.values():
--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -1,4 +1,4 @@
-"""Hosts gateway instances on the simulator's wire: words, ids and frames in, the same out. Decides nothing."""
+"""Hosts gateway instances on the simulator's wire: translates words, ids and frames. Decides nothing."""
 
 import json
 import math
@@ -17,7 +17,8 @@
     502: Outcome.NO_CONNECTION, 598: Outcome.BROKEN, 499: Outcome.CALLED_OFF, 410: Outcome.NOT_SENT,
 }
 EFFECTS = {
-    "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED, "at_most_once": Effect.NON_IDEMPOTENT,
+    "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
+    "at_most_once": Effect.NON_IDEMPOTENT,
 }
 REPEAT_BIT, MOST_US = 2, 2**32 - 1
 
@@ -30,9 +31,8 @@
     """A needed value, or BadStart naming it."""
     value = table.get(key) if isinstance(table, dict) else None
     if kind in (int, float):
-        good = isinstance(value, (int, float)) and not isinstance(value, bool)
-        good = good and math.isfinite(value) and value >= low
-        if good:
+        number = isinstance(value, int | float) and not isinstance(value, bool)
+        if number and math.isfinite(value) and value >= low:
             return kind(value)
     elif isinstance(value, kind):
         return value
@@ -62,8 +62,10 @@
         ))
     plans = [Plan(
         str(row.get("name", "")), field(row, "units-per-s", float), field(row, "depth", float),
-        field(row, "worth-factor", float), field(row, "beyond-earns", float), field(row, "overrun-cost", float),
-        field(row, "parallel", int), field(row, "cap-rate", float), field(row, "cap-depth", float),
+        field(row, "worth-factor", float), field(row, "beyond-earns", float),
+        field(row, "worth-factor", float), field(row, "beyond-earns", float),
+        field(row, "overrun-cost", float), field(row, "parallel", int), field(row, "cap-rate", float),
+        field(row, "cap-depth", float),
     ) for row in field(top, "tariffs", list)]
     stats = top.get("stats", {})
     return Terms(
@@ -127,7 +129,8 @@
         who = self.who
         match action:
             case CallOut(rpc, backend, limit):
-                reply.add(wire.SEND, who, self.rpcs.names[rpc], self.backends.names[backend], min(limit, MOST_US))
+                to = self.backends.names[backend]
+                reply.add(wire.SEND, who, self.rpcs.names[rpc], to, min(limit, MOST_US))
             case PushBack(rpc, wait):
                 reply.add(wire.DECLINE, who, self.rpcs.names[rpc], min(wait, MOST_US))
             case Abort(rpc):
@@ -197,8 +200,8 @@
             rpc = inst.rpcs.index.get(req)
             if rpc is not None:
                 inst.tell_rpc(req, CallOutEnded(
-                    rpc, n, inst.backends.enter(backend), OUTCOMES[outcome], bool(closed), latency, float(cost),
-                    tuple(load[:values]),
+                    rpc, n, inst.backends.enter(backend), OUTCOMES[outcome], bool(closed), latency,
+                    float(cost), tuple(load[:values]),
                 ), now, reply)
         elif code in (wire.GONE, wire.FIRST):
             rpc = inst.rpcs.index.get(fields[1])
--- a/stoneyoke/simhost/wire.py
+++ b/stoneyoke/simhost/wire.py
@@ -14,7 +14,8 @@
 EVENT_SIZE, ACTION_SIZE = 40, 24
 ENTRY = struct.Struct("<HHHfIQB")
 
-SPAWN, LIST_NEWS, ACCEPT, FIRST, VERDICT, GONE, WAKEUP, ECHO, WHISPER, KILLED, COUNTED, MANIFEST = range(1, 13)
+SPAWN, LIST_NEWS, ACCEPT, FIRST, VERDICT, GONE = range(1, 7)
+WAKEUP, ECHO, WHISPER, KILLED, COUNTED, MANIFEST = range(7, 13)
 EVENTS = {
     SPAWN: struct.Struct("<xHQII"),
     LIST_NEWS: struct.Struct("<xHBQI"),
@@ -75,7 +76,7 @@
     def piece(self, offset: int, size: int) -> bytes:
         if offset + size > len(self.tail):
             raise Malformed(
-                f"frame {self.number}: offset {offset} and length {size} reach beyond a tail of {len(self.tail)}"
+                f"frame {self.number}: offset {offset}, length {size} reach beyond a tail of {len(self.tail)}"
             )
         return bytes(self.tail[offset : offset + size])
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,7 +2,8 @@
 
 from stoneyoke.control import Gateway
 from stoneyoke.interface import (
-    Arrival, CallOut, CallOutEnded, Effect, FleetNews, Group, Listed, Method, Outcome, Plan, State, Terms, TimerFired,
+    Arrival, CallOut, CallOutEnded, Effect, FleetNews, Group, Listed, Method, Outcome, Plan, State,
+    Terms, TimerFired,
 )
 
 START = 1_000_000_000_000
@@ -18,10 +19,11 @@
     return Plan("plan", rate, burst, 1.0, 0.0, 0.5, parallel, ceiling_rate, ceiling_burst)
 
 
-def terms(plans=(plan(),), **changes):
+def terms(plans=None, **changes):
     values = dict(
-        seed=7, gateways=3, own_index=0, zone=0, methods=METHODS, plans=tuple(plans), call_outs_max=5,
-        can_call_off=True, can_probe=True, has_counter=True, settles=False, must_subscribe=False, ask_within_us=0,
+        seed=7, gateways=3, own_index=0, zone=0, methods=METHODS, plans=plans or (plan(),), call_outs_max=5,
+        can_call_off=True, can_probe=True, has_counter=True, settles=False, must_subscribe=False,
+        ask_within_us=0,
         units_top=1.0, cold_share=0.25, warm_up_us=10_000_000, push_over_factor=2.0, push_over_us=1_500_000,
     )
     return Terms(**(values | changes))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,8 +4,8 @@
 from helpers import METHODS, START, Bench, of, plan, sent
 
 from stoneyoke.interface import (
-    Abort, AddCount, Arrival, CallOff, CallOut, CountAnswer, FleetNews, Forget, Listed, Outcome, PushBack, State,
-    Subscribe,
+    Abort, AddCount, Arrival, CallOff, CallOut, CountAnswer, FleetNews, Forget, Listed, Outcome, PushBack,
+    State, Subscribe,
 )
 
 
@@ -39,7 +39,8 @@
 
 def count_all(total):
     def answer(action):
-        return CountAnswer(action.name, True, total) if isinstance(action, AddCount) and not action.amount else None
+        reads = isinstance(action, AddCount) and not action.amount
+        return CountAnswer(action.name, True, total) if reads else None
     return answer
 
 
