--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -63,7 +63,6 @@
     plans = [Plan(
         str(row.get("name", "")), field(row, "units-per-s", float), field(row, "depth", float),
         field(row, "worth-factor", float), field(row, "beyond-earns", float),
-        field(row, "worth-factor", float), field(row, "beyond-earns", float),
         field(row, "overrun-cost", float), field(row, "parallel", int), field(row, "cap-rate", float),
         field(row, "cap-depth", float),
     ) for row in field(top, "tariffs", list)]
