--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -7,10 +7,10 @@
 Mechanisms beside the design (at most six):
 1. ranked order   backends by measured pace, renewed by a timer, filled from the top, each up to a limit
 2. room           call-outs out at once, moved by each one's time to hold their mean well inside the soft dl
-3. quiet backend  one that answers nothing sinks in the order; repeatable RPCs are called off and sent on
-4. health         a backend whose share of failures is far above the fleet's median rests
-5. cold budget    call-outs to a fresh backend are counted in every window
-6. ceiling store  a second store per customer that only time fills
+3. claims         how much of the room an RPC may fill: less when it comes too late, or is worth little
+4. quiet backend  one that answers nothing sinks in the order; repeatable RPCs are called off and sent on
+5. health         a backend whose share of failures is far above the fleet's median rests
+6. guards         cold budget per window for a fresh backend; a ceiling store that only time fills
 """
 
 import math
@@ -129,6 +129,7 @@
 
     def __init__(self, soft_us: int) -> None:
         self.mean = soft_us / 6  # a first guess of the time taken; answers soon replace it
+        self.longest = 0  # the longest wait that a client's try came with: a first try's
 
 
 class OpenRpc:
@@ -159,6 +160,7 @@
         self.counter_heard = self.counter_asked = now
         self.reads: dict[int, tuple[int, float]] = {}  # name -> customer, own demand; until answered
         self.beat = 0
+        self.value = 0.0  # running mean of utility for the time taken
         self.lump = 1.0  # running mean of the RPCs' cost
         self.subscribe_at = now if terms.must_subscribe else 0
         self.actions: list[Action] = []
@@ -202,12 +204,13 @@
             yield PushBack(call.rpc, wait)
             return
         unrun, home, first_at = True, None, 0
+        claim = self.claim(call)
         tried: set[int] = set()
         for _ in range(self.terms.call_outs_max):
             # Rule 2: a deduplicated RPC that may have run stays in its group and within the memory.
             if not unrun and method.effect is Effect.DEDUPLICATED and self.now >= first_at + method.memory_us:
                 break
-            if not (backend := self.choose(tried, None if unrun else home, method.group)):
+            if not (backend := self.choose(tried, claim, None if unrun else home, method.group)):
                 break
             if not rpc.drawn:
                 rpc.drawn = True
@@ -249,6 +252,19 @@
         """How long a call-out is out before it counts as slow and its backend is looked at."""
         return self.terms.methods[method].soft_us * 3 // 5
 
+    def claim(self, call: Arrival) -> float:
+        """The part of the room that an RPC may fill. A client's later try that can no longer be ok within
+        the soft deadline leaves half of it to those that can; told by a wait shorter than a first try's."""
+        method, row = self.terms.methods[call.method], self.methods[call.method]
+        row.longest = max(row.longest, call.wait_us)
+        late = method.deadline_us - call.wait_us > 0.8 * method.soft_us
+        if late and call.wait_us < 0.98 * row.longest:
+            return 0.5
+        # Utility for the time it takes, against the running mean: the cheaper half of it leaves first.
+        value = method.utility * self.terms.plans[call.plan].price * call.units / row.mean
+        self.value += (value - self.value) * (0.02 if self.value else 1.0)
+        return min(1.0, 0.6 + 0.5 * value / self.value) if self.value > 0 else 1.0
+
     # ---- quotas ----
 
     def customer(self, call: Arrival) -> Customer:
@@ -373,10 +389,10 @@
 
     # ---- choice of backend ----
 
-    def choose(self, tried: set[int], home: Backend | None, group: Group) -> Backend | None:
+    def choose(self, tried: set[int], claim: float, home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
         best, best_fill = None, math.inf
-        if self.out >= max(1.0, self.room):
+        if self.out >= max(1.0, self.room * claim):
             return None
         limit = max(1.0, 2 * self.room / max(1, len(self.order)))
         for backend in self.order:
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -46,6 +46,7 @@
     effect: Effect
     group: Group
     soft_us: int
+    deadline_us: int  # over all tries of a client
     memory_us: int
     utility: float
     stream: bool = False
--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -31,9 +31,9 @@
     """A needed value, or BadStart naming it."""
     value = table.get(key) if isinstance(table, dict) else None
     if kind in (int, float):
-        number = isinstance(value, int | float) and not isinstance(value, bool)
-        if number and math.isfinite(value) and value >= low:
-            return kind(value)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            if math.isfinite(value) and value >= low:
+                return kind(value)
     elif isinstance(value, kind):
         return value
     raise BadStart(f"start message: {key!r} is missing or unusable: {value!r}")
@@ -56,7 +56,7 @@
         methods.append(Method(
             str(row.get("name", "")), EFFECTS[effect],
             Group(group) if effect == "deduplicated" else Group.CELL,
-            field(row, "aim-us", int, 1),
+            field(row, "aim-us", int, 1), field(row, "deadline-us", int, 1),
             field(row, "memory-span-us", int) if effect == "deduplicated" else 0,
             field(row, "gain", float), bool(row.get("stream", False)),
         ))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,15 +8,15 @@
 
 START = 1_000_000_000_000
 METHODS = (
-    Method("look", Effect.IDEMPOTENT, Group.CELL, 1_000_000, 0, 1.0),
-    Method("order", Effect.DEDUPLICATED, Group.ZONE, 1_000_000, 2_000_000, 1.0),
-    Method("pay", Effect.NON_IDEMPOTENT, Group.CELL, 1_000_000, 0, 1.0),
-    Method("set", Effect.DEDUPLICATED, Group.ALL, 1_000_000, 2_000_000, 1.0),
+    Method("look", Effect.IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
+    Method("order", Effect.DEDUPLICATED, Group.ZONE, 1_000_000, 2_500_000, 2_000_000, 1.0),
+    Method("pay", Effect.NON_IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
+    Method("set", Effect.DEDUPLICATED, Group.ALL, 1_000_000, 2_500_000, 2_000_000, 1.0),
 )
 
 
-def plan(rate=4.0, burst=12.0, parallel=0, ceiling_rate=0.0, ceiling_burst=0.0):
-    return Plan("plan", rate, burst, 1.0, 0.0, 0.5, parallel, ceiling_rate, ceiling_burst)
+def plan(rate=4.0, burst=12.0, parallel=0, ceiling_rate=0.0, ceiling_burst=0.0, price=1.0):
+    return Plan("plan", rate, burst, price, 0.0, 0.5, parallel, ceiling_rate, ceiling_burst)
 
 
 def terms(plans=None, **changes):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -179,3 +179,16 @@
         bench.pass_time(3_000_000, count_all(9.0))
         logs.append(bench.log)
     assert logs[0] == logs[1]
+
+
+def test_a_full_room_pushes_back_first_what_comes_too_late_or_is_worth_little():
+    bench = Bench(plans=(plan(1000.0, 3000.0), plan(1000.0, 3000.0, price=0.1)))
+    bench.arrive(customer=1)
+    bench.gateway.room = 10.0
+    while sent(bench.arrive(wait=1_200_000)):
+        pass  # later tries: half of the room
+    assert bench.gateway.out == 5
+    while sent(bench.arrive(customer=2, plan=1)):
+        pass
+    assert 5 < bench.gateway.out < 10
+    assert sent(bench.arrive())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,8 @@
     "balancers": 1, "self-index": 0, "zone": 0, "discovery": "automatic", "new-key": [1],
     "caps": {"cancel": True, "try-limit": 5}, "extra": {"units-top": 1, "has-counter": False},
     "rules": {"cold-from": 0.2, "ramp-time-us": 1, "overload-factor": 2.0, "overload-for-us": 1},
-    "classes": [{"effect": "idempotent", "aim-us": 1000000, "gain": 1.0, "name": "a"}],
+    "classes": [
+        {"effect": "idempotent", "aim-us": 1000000, "deadline-us": 2000000, "gain": 1.0, "name": "a"}],
     "tariffs": [{"units-per-s": 2.0, "depth": 4.0, "worth-factor": 1.0, "beyond-earns": 0.0,
                  "overrun-cost": 0.0, "parallel": 0, "cap-rate": 0.0, "cap-depth": 0.0}],
 }
