--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -175,7 +175,7 @@
         self.now, self.actions = now, []
         if not self.ticking:
             self.ticking = True
-            self.actions.append(SetTimer(BEAT - now % BEAT, 0))
+            self.set_beat()
         match event:
             case Arrival():
                 self.arrive(event)
@@ -563,8 +563,13 @@
             backend.ready, backend.gone = entry.state is State.READY, entry.state is State.GONE
         self.renew_order()
 
+    def set_beat(self) -> None:
+        """Each gateway beats at a place of its own, so that their calls don't crowd the counter at once."""
+        phase = self.terms.own_index * BEAT // self.terms.gateways
+        self.actions.append(SetTimer(BEAT - (self.now - phase) % BEAT, 0))
+
     def tick(self) -> None:
-        self.actions.append(SetTimer(BEAT - self.now % BEAT, 0))
+        self.set_beat()
         beat = self.now % SECOND // BEAT
         if beat < self.beat:
             self.close_second()
