--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -225,7 +225,8 @@
             while result is STILL_OUT:
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
-                    self.press(1.0)
+                    if backend.band < 2:
+                        self.press(1.0)
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
                 quiet = backend.band >= 2 and self.now - backend.quiet_since >= self.patience(call.method)
@@ -397,7 +398,7 @@
     def choose(self, tried: set[int], claim: float, home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
         best, best_fill = None, math.inf
-        if self.out >= max(1.0, self.room * claim):
+        if sum(b.out for b in self.order if b.band < 2) >= max(1.0, self.room * claim):
             return None
         limit = max(1.0, 2 * self.room / max(1, len(self.order)))
         for backend in self.order:
@@ -531,10 +532,12 @@
         if result.outcome is Outcome.NO_CONNECTION:
             backend.rests_until = self.now + SECOND
         elif result.outcome is not Outcome.NOT_SENT:
-            backend.pace += (took / row.mean - backend.pace) * 0.15
-        if result.outcome is not Outcome.NOT_SENT:
-            away = result.outcome is Outcome.TURNED_AWAY
-            self.press(1.5 if away else min(1.5, took / self.terms.methods[rpc.call.method].soft_us))
+            # A quick refusal or error is no quick answer: else a backend that refuses all would draw all.
+            taken = took / row.mean if result.outcome is Outcome.OK else max(3.0, took / row.mean)
+            backend.pace += (taken - backend.pace) * 0.15
+        # A backend far off the fleet, or one that won't have this RPC, says nothing of the fleet's room.
+        if result.outcome not in PROVEN_UNRUN and backend.band < 2:
+            self.press(min(1.5, took / self.terms.methods[rpc.call.method].soft_us))
 
     def press(self, taken: float) -> None:
         """One more call-out's time, in soft deadlines. Held near 0.35: the fleet full, few answers late."""
