--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -114,7 +114,7 @@
     def __init__(self, index: int) -> None:
         self.index, self.zone, self.cell, self.started, self.ready = index, 0, 0, 0, False
         self.gone = False
-        self.out = 0
+        self.out = self.overdue = 0
         self.pace = 1.0  # time taken, in means of its methods
         self.failures = 0.0  # decayed share of call-outs that failed
         self.rests_until = 0
@@ -160,6 +160,7 @@
         self.counter_heard = self.counter_asked = now
         self.reads: dict[int, tuple[int, float]] = {}  # name -> customer, own demand; until answered
         self.beat = 0
+        self.taken = 0.1  # running mean of the time taken by good answers, in soft deadlines
         self.warm_rate = 0.0  # call-outs a second that a warm backend gets from this gateway, the median
         self.reading = 1.0  # the part of the reads that is made
         self.value = 0.0  # running mean of utility for the time taken
@@ -225,7 +226,8 @@
             while result is STILL_OUT:
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
-                    if backend.band < 2:
+                    backend.overdue += 1
+                    if backend.band < 2 and self.jammed():
                         self.press(1.0)
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
@@ -398,7 +400,9 @@
     def choose(self, tried: set[int], claim: float, home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
         best, best_fill = None, math.inf
-        if sum(b.out for b in self.order if b.band < 2) >= max(1.0, self.room * claim):
+        jammed = self.jammed()
+        filled = sum(b.out - (0 if jammed else b.overdue) for b in self.order if b.band < 2)
+        if filled >= max(1.0, self.room * claim):
             return None
         limit = max(1.0, 2 * self.room / max(1, len(self.order)))
         for backend in self.order:
@@ -508,6 +512,7 @@
             return
         index, sent_at = rpc.outs.pop(result.n)
         backend = self.backends[index]
+        backend.overdue -= rpc.slow_at == result.n + 1
         backend.out -= 1
         self.out -= 1
         customer = self.customers[rpc.call.customer]
@@ -533,11 +538,20 @@
             backend.rests_until = self.now + SECOND
         elif result.outcome is not Outcome.NOT_SENT:
             # A quick refusal or error is no quick answer: else a backend that refuses all would draw all.
-            taken = took / row.mean if result.outcome is Outcome.OK else max(3.0, took / row.mean)
-            backend.pace += (taken - backend.pace) * 0.15
+            means = took / row.mean if result.outcome is Outcome.OK else max(3.0, took / row.mean)
+            backend.pace += (means - backend.pace) * 0.15
         # A backend far off the fleet, or one that won't have this RPC, says nothing of the fleet's room.
-        if result.outcome not in PROVEN_UNRUN and backend.band < 2:
-            self.press(min(1.5, took / self.terms.methods[rpc.call.method].soft_us))
+        taken = took / self.terms.methods[rpc.call.method].soft_us
+        if result.outcome is Outcome.OK:
+            self.taken += (min(1.5, taken) - self.taken) * 0.05
+        if backend.band < 2 and (result.outcome is Outcome.OK or (
+                result.outcome not in PROVEN_UNRUN and self.jammed())):
+            self.press(min(1.5, taken))
+
+    def jammed(self) -> bool:
+        """Call-outs without an answer show a jam only while the answers are slow too; else they are lost, and
+        what is lost must not fill the room."""
+        return self.taken > 0.3
 
     def press(self, taken: float) -> None:
         """One more call-out's time, in soft deadlines. Held near 0.35: the fleet full, few answers late."""
