--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -96,9 +96,9 @@
         self.tries = self.early = self.step = 0
 
     def depth(self) -> float:
-        # Units come in lumps: a slice is rounded up by one mean RPC, and holds the largest, which a thinner
+        # Units come in lumps: a slice is rounded up by 1.5 mean RPCs, and holds the largest, which a thinner
         # one would shut out for good. Refill stays the slice's, so over time nothing is minted.
-        return min(self.plan.burst, max(self.plan.burst * self.slice + self.lump, self.units_top))
+        return min(self.plan.burst, max(self.plan.burst * self.slice + 1.5 * self.lump, self.units_top))
 
     def take_slice(self, part: float, now: int) -> None:
         self.slice = max(part, self.even / 10)
