--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -192,3 +192,62 @@
         pass
     assert 5 < bench.gateway.out < 10
     assert sent(bench.arrive())
+
+
+def load(bench, number, **call):
+    """As many RPCs of as many customers; the call-outs that came of it."""
+    return [sent(bench.arrive(customer=100 + i, **call))[0] for i in range(number)]
+
+
+def test_answers_that_take_long_shrink_the_room_and_prompt_ones_widen_it():
+    bench = Bench()
+    bench.gateway.room = 12.0
+    for first, took, grows in ((1, 900_000, False), (11, 50_000, True)):
+        outs, before = load(bench, 10), bench.gateway.room
+        bench.now += took
+        for rpc, out in enumerate(outs, first):
+            bench.end(rpc, 0, out.backend)
+        assert (bench.gateway.room > before) is grows
+
+
+def test_a_backend_that_refuses_quickly_is_not_taken_for_a_quick_one():
+    bench = Bench()
+    for _ in range(12):
+        actions = bench.arrive(customer=bench.next_rpc)
+        while out := sent(actions):
+            n = sum(1 for _, a in bench.log if isinstance(a, CallOut) and a.rpc == bench.next_rpc) - 1
+            bench.now += 1000 if out[0].backend == 0 else 100_000
+            actions = bench.end(
+                bench.next_rpc, n, out[0].backend, Outcome.TURNED_AWAY if out[0].backend == 0 else Outcome.OK)
+    bench.pass_time(300_000)
+    assert bench.gateway.order[-1].index == 0 and bench.gateway.backends[0].band > 0
+
+
+def test_lost_call_outs_leave_the_room_to_others_while_good_answers_are_prompt():
+    bench = Bench()
+    load(bench, 6, method=2, wait=6_000_000)
+    bench.gateway.room = 4.0
+    assert of(PushBack, bench.arrive())
+    bench.pass_time(700_000)
+    assert sent(bench.arrive())
+
+
+def test_a_counter_that_turns_calls_away_is_read_less_and_all_slices_go_even_when_it_is_silent():
+    bench = Bench()
+    drain(bench)
+    bench.pass_time(3_000_000, count_all(50.0))
+    for _ in range(30):
+        bench.tell(CountAnswer(1, False, 0.0))
+    assert bench.gateway.reading == pytest.approx(0.1)
+    for _ in range(100):
+        bench.tell(CountAnswer(1, True, 0.0))
+    assert bench.gateway.reading == 1.0
+
+
+def test_a_failing_backend_rests_and_no_connection_rests_it_at_once():
+    bench = Bench()
+    out = sent(bench.arrive())[0]
+    again = sent(bench.end(1, 0, out.backend, Outcome.NO_CONNECTION))[0]
+    assert again.backend != out.backend
+    bench.end(1, 1, again.backend)
+    assert all(o.backend != out.backend for o in load(bench, 5))
