What was out while the gateway itself stood still is not measured

Told from a slow fleet: no backend or hall was worse than others, and the metrics scrape was late at gateways only.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -169,11 +169,17 @@
         self.subscribe_at = now if terms.must_subscribe else 0
         self.actions: list[Action] = []
         self.ticking = False
+        self.woke = 0
 
     def holds(self, rpc: int) -> bool:
         return rpc in self.open
 
     def handle(self, event: Event, now: int) -> list[Action]:
+        # A gap of four beats: this gateway stood still itself. What was out then is no measure of the fleet.
+        if now - self.now > 4 * BEAT and self.ticking:
+            self.woke = now
+            for backend in self.backends.values():
+                backend.quiet_since = now
         self.now, self.actions = now, []
         if not self.ticking:
             self.ticking = True
@@ -228,7 +234,7 @@
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
                     backend.overdue += 1
-                    if backend.band < 2 and self.jammed():
+                    if backend.band < 2 and self.jammed() and rpc.outs[rpc.sent - 1][1] >= self.woke:
                         self.press(1.0)
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
@@ -529,6 +535,8 @@
 
     def measure(self, backend: Backend, rpc: OpenRpc, result: CallOutEnded, sent_at: int) -> None:
         took, row = self.now - sent_at, self.methods[rpc.call.method]
+        if sent_at < self.woke:
+            return
         if result.outcome in (Outcome.OK, Outcome.ERROR, Outcome.TURNED_AWAY):
             backend.quiet_since = self.now
         failed = result.outcome not in (Outcome.OK, Outcome.CALLED_OFF, Outcome.TURNED_AWAY, Outcome.NOT_SENT)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -251,3 +251,13 @@
     assert again.backend != out.backend
     bench.end(1, 1, again.backend)
     assert all(o.backend != out.backend for o in load(bench, 5))
+
+
+def test_what_was_out_while_the_gateway_itself_stood_still_is_not_measured():
+    bench = Bench()
+    outs = load(bench, 6)
+    bench.pass_time(100_000)
+    room, bench.now = bench.gateway.room, bench.now + 2_000_000
+    for rpc, out in enumerate(outs, 1):
+        bench.end(rpc, 0, out.backend)
+    assert bench.gateway.room >= room and bench.gateway.taken < 0.2
