Parallel parts rounded down; plans without a rate draw no units

Parts rounded to nearest summed above the cap: 7 over two gateways gave 4 each. Found by reading: a plan with no rate drew its store down for good, and its customers were never forgotten; tested.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -106,7 +106,8 @@
         self.store.reshape(self.plan.rate * self.slice, self.depth(), now)
 
     def parallel_full(self) -> bool:
-        return self.plan.parallel > 0 and self.out >= max(1, round(self.plan.parallel * self.slice))
+        # Rounded down, so that the gateways' parts never sum above the cap (but for one each).
+        return self.plan.parallel > 0 and self.out >= max(1, int(self.plan.parallel * self.slice + 1e-9))
 
 
 class Backend:
@@ -224,7 +225,8 @@
                 break
             if not rpc.drawn:
                 rpc.drawn = True
-                customer.store.level -= call.units
+                # Only from stores that refill: else one would never be full, its customer never forgotten.
+                customer.store.level -= call.units if customer.plan.rate > 0 else 0.0
                 customer.ceiling.level -= call.units if customer.plan.ceiling_rate > 0 else 0.0
             if unrun:
                 home, first_at = backend, self.now
@@ -524,7 +526,8 @@
         self.out -= 1
         customer = self.customers[rpc.call.customer]
         customer.out -= 1
-        if self.terms.settles and result.outcome is Outcome.OK and result.units > 0:
+        settled = self.terms.settles and customer.plan.rate > 0 and result.outcome is Outcome.OK
+        if settled and result.units > 0:
             customer.store.level += rpc.call.units - result.units
         self.measure(backend, rpc, result, sent_at)
         if result.closed:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -71,8 +71,9 @@
     assert bench.gateway.customers[0].slice == pytest.approx(1 / 3)
 
 
-def test_idle_customers_are_forgotten():
-    bench = Bench()
+@pytest.mark.parametrize("terms", [plan(), plan(rate=0.0, burst=0.0, parallel=9)])
+def test_idle_customers_are_forgotten(terms):
+    bench = Bench(plans=(terms,))
     for customer in range(50):
         bench.arrive(customer=customer)
         bench.end(bench.next_rpc, 0, sent([a for _, a in bench.log])[-1].backend)
