--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -42,26 +42,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Method:
-    name: str
     effect: Effect
     group: Group
     soft_us: int
     deadline_us: int  # over all tries of a client
     memory_us: int
     utility: float
-    stream: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
     """One customer plan: quota, burst, ceiling and the number of call-outs out at once."""
 
-    name: str
     rate: float
     burst: float
     price: float
-    beyond_earns: float
-    overrun_cost: float
     parallel: int
     ceiling_rate: float
     ceiling_burst: float
@@ -79,17 +74,14 @@
     plans: tuple[Plan, ...]
     call_outs_max: int
     can_call_off: bool
-    can_probe: bool
     has_counter: bool
     settles: bool
     must_subscribe: bool
-    ask_within_us: int
     units_top: float
     cold_share: float
     warm_up_us: int
     push_over_factor: float
     push_over_us: int
-    report_fields: tuple[str, ...] = ()
 
 
 # ---- events: what the control module is told ----
@@ -107,14 +99,11 @@
     wait_us: int  # how long the client still waits
     units: float
     width: float  # gateways that this customer's RPCs come through
-    first: float
-    repeat: bool
 
 
 @dataclass(slots=True)
 class StreamBegun:
     rpc: int
-    n: int
 
 
 @dataclass(slots=True)
@@ -124,9 +113,7 @@
     backend: int
     outcome: Outcome
     closed: bool  # nothing more is owed for the RPC
-    latency_us: int
     units: float  # the true cost where units are settled afterwards, else 0
-    load: tuple[float, ...]
 
 
 @dataclass(slots=True)
@@ -141,14 +128,6 @@
     total: float
 
 
-@dataclass(slots=True)
-class ProbeAnswer:
-    backend: int
-    outcome: Outcome
-    latency_us: int
-    load: tuple[float, ...]
-
-
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -159,7 +138,6 @@
     backend: int
     zone: int
     cell: int
-    size: float
     started_us: int
     state: State
 
@@ -173,7 +151,7 @@
     entries: list[Listed] = field(default_factory=list)
 
 
-Event = Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | ProbeAnswer | TimerFired | FleetNews
+Event = Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | TimerFired | FleetNews
 
 
 # ---- actions: what the control module asks for ----
@@ -209,11 +187,6 @@
     token: int
 
 
-@dataclass(slots=True)
-class Probe:
-    backend: int
-
-
 @dataclass(slots=True)
 class AddCount:
     name: int
@@ -233,9 +206,4 @@
     customer: int
 
 
-@dataclass(slots=True)
-class Note:
-    text: str
-
-
-Action = CallOut | PushBack | Abort | CallOff | SetTimer | Probe | AddCount | Subscribe | Forget | Note
+Action = CallOut | PushBack | Abort | CallOff | SetTimer | AddCount | Subscribe | Forget
--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -7,8 +7,8 @@
 from stoneyoke.control import Gateway
 from stoneyoke.interface import (
     Abort, Action, AddCount, Arrival, CallOff, CallOut, CallOutEnded, ClientGone, CountAnswer, Effect, Event,
-    FleetNews, Forget, Group, Listed, Method, Note, Outcome, Plan, Probe, ProbeAnswer, PushBack, SetTimer,
-    State, StreamBegun, Subscribe, Terms, TimerFired,
+    FleetNews, Forget, Group, Listed, Method, Outcome, Plan, PushBack, SetTimer, State,
+    StreamBegun, Subscribe, Terms, TimerFired,
 )
 from stoneyoke.simhost import wire
 
@@ -20,7 +20,7 @@
     "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
     "at_most_once": Effect.NON_IDEMPOTENT,
 }
-REPEAT_BIT, MOST_US = 2, 2**32 - 1
+MOST_US = 2**32 - 1
 
 
 class BadStart(Exception):
@@ -54,28 +54,24 @@
         if effect == "deduplicated" and group not in {g.value for g in Group}:
             raise BadStart(f"start message: 'group' is unusable: {group!r}")
         methods.append(Method(
-            str(row.get("name", "")), EFFECTS[effect],
+            EFFECTS[effect],
             Group(group) if effect == "deduplicated" else Group.CELL,
             field(row, "aim-us", int, 1), field(row, "deadline-us", int, 1),
             field(row, "memory-span-us", int) if effect == "deduplicated" else 0,
-            field(row, "gain", float), bool(row.get("stream", False)),
+            field(row, "gain", float),
         ))
     plans = [Plan(
-        str(row.get("name", "")), field(row, "units-per-s", float), field(row, "depth", float),
-        field(row, "worth-factor", float), field(row, "beyond-earns", float),
-        field(row, "overrun-cost", float), field(row, "parallel", int), field(row, "cap-rate", float),
-        field(row, "cap-depth", float),
+        field(row, "units-per-s", float), field(row, "depth", float),
+        field(row, "worth-factor", float), field(row, "parallel", int),
+        field(row, "cap-rate", float), field(row, "cap-depth", float),
     ) for row in field(top, "tariffs", list)]
-    stats = top.get("stats", {})
     return Terms(
         seed, field(top, "balancers", int, 1), field(top, "self-index", int), field(top, "zone", int),
         tuple(methods), tuple(plans), field(caps, "try-limit", int, 1), bool(caps.get("cancel", False)),
-        bool(caps.get("probes", False)), bool(extra.get("has-counter", False)),
+        bool(extra.get("has-counter", False)),
         bool(extra.get("settles", False)), top.get("discovery") == "subscribe",
-        field(rules, "must-ask-in-us", int) if top.get("discovery") == "subscribe" else 0,
         field(extra, "units-top", float), field(rules, "cold-from", float), field(rules, "ramp-time-us", int),
         field(rules, "overload-factor", float), field(rules, "overload-for-us", int),
-        tuple(stats.get("fields", ())) if isinstance(stats, dict) else (),
     )
 
 
@@ -138,16 +134,12 @@
                 reply.add(wire.CALL_OFF, who, self.rpcs.names[rpc], n)
             case SetTimer(delay, token):
                 reply.add(wire.TIMER, who, delay, token)
-            case Probe(backend):
-                reply.add(wire.HEALTH_CHECK, who, self.backends.names[backend])
             case AddCount(name, life, amount):
                 reply.add(wire.BUMP, who, name, life, amount)
             case Subscribe():
                 reply.add(wire.OBSERVE, who, 1)
             case Forget(customer):
                 self.customers.leave(customer)
-            case Note(text):
-                reply.add_text(wire.NOTE_DOWN, who, text)
 
 
 class Host:
@@ -187,36 +179,30 @@
         if inst is None:
             return
         if code == wire.ACCEPT:
-            _, req, method, plan, customer, wait, units, width, first, bits = fields
+            _, req, method, plan, customer, wait, units, width, _, _ = fields
             inst.tell_rpc(req, Arrival(
                 inst.rpcs.enter(req), method, plan, inst.customers.enter(customer), customer, wait, units,
-                width, first, bool(bits & REPEAT_BIT),
+                width,
             ), now, reply)
         elif code == wire.VERDICT:
-            _, req, latency, _, n, backend, cost, outcome, closed, values, *load = fields
+            _, req, _, _, n, backend, cost, outcome, closed, *_ = fields
             if outcome not in OUTCOMES:
                 raise wire.Malformed(f"frame {batch.number}: unknown outcome {outcome}")
             rpc = inst.rpcs.index.get(req)
             if rpc is not None:
                 inst.tell_rpc(req, CallOutEnded(
-                    rpc, n, inst.backends.enter(backend), OUTCOMES[outcome], bool(closed), latency,
-                    float(cost), tuple(load[:values]),
+                    rpc, n, inst.backends.enter(backend), OUTCOMES[outcome], bool(closed), float(cost),
                 ), now, reply)
         elif code in (wire.GONE, wire.FIRST):
             rpc = inst.rpcs.index.get(fields[1])
             if rpc is not None:
-                event = ClientGone(rpc) if code == wire.GONE else StreamBegun(rpc, fields[2])
+                event = ClientGone(rpc) if code == wire.GONE else StreamBegun(rpc)
                 inst.tell_rpc(fields[1], event, now, reply)
         elif code == wire.WAKEUP:
             inst.tell(TimerFired(fields[1]), now, reply)
         elif code == wire.COUNTED:
             _, name, _, outcome, total = fields
             inst.tell(CountAnswer(name, OUTCOMES.get(outcome) is Outcome.OK, total), now, reply)
-        elif code == wire.ECHO:
-            _, backend, outcome, latency, values, *load = fields
-            outcome = OUTCOMES.get(outcome, Outcome.ERROR)
-            at = inst.backends.enter(backend)
-            inst.tell(ProbeAnswer(at, outcome, latency, tuple(load[:values])), now, reply)
         elif code == wire.LIST_NEWS:
             _, mode, _, bank = fields
             if mode == 3:
@@ -225,8 +211,8 @@
             if bank not in self.banks:
                 raise wire.Malformed(f"frame {batch.number}: list {bank} was never given")
             entries = [
-                Listed(inst.backends.enter(backend), zone, cell, size, started, State(state))
-                for cell, zone, _, size, backend, started, state in self.banks[bank]
+                Listed(inst.backends.enter(backend), zone, cell, started, State(state))
+                for cell, zone, _, _, backend, started, state in self.banks[bank]
             ]
             inst.tell(FleetNews(mode != 0, False, entries), now, reply)
 
--- a/stoneyoke/simhost/wire.py
+++ b/stoneyoke/simhost/wire.py
@@ -31,16 +31,14 @@
     MANIFEST: struct.Struct("<xIII"),
 }
 
-SEND, DECLINE, REPORT_FAILURE, CALL_OFF, TIMER, HEALTH_CHECK = range(1, 7)
-NOTE_DOWN, BROKEN, OBSERVE, BUMP = 9, 10, 11, 13
+SEND, DECLINE, REPORT_FAILURE, CALL_OFF, TIMER = range(1, 6)
+BROKEN, OBSERVE, BUMP = 10, 11, 13
 ACTIONS = {
     SEND: struct.Struct("<BHIII"),
     DECLINE: struct.Struct("<BHII"),
     REPORT_FAILURE: struct.Struct("<BHI"),
     CALL_OFF: struct.Struct("<BHIB"),
     TIMER: struct.Struct("<BHII"),
-    HEALTH_CHECK: struct.Struct("<BHI"),
-    NOTE_DOWN: struct.Struct("<BHII"),
     BROKEN: struct.Struct("<BHII"),
     OBSERVE: struct.Struct("<BHB"),
     BUMP: struct.Struct("<BHQIf"),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -8,22 +8,22 @@
 
 START = 1_000_000_000_000
 METHODS = (
-    Method("look", Effect.IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
-    Method("order", Effect.DEDUPLICATED, Group.ZONE, 1_000_000, 2_500_000, 2_000_000, 1.0),
-    Method("pay", Effect.NON_IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
-    Method("set", Effect.DEDUPLICATED, Group.ALL, 1_000_000, 2_500_000, 2_000_000, 1.0),
+    Method(Effect.IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
+    Method(Effect.DEDUPLICATED, Group.ZONE, 1_000_000, 2_500_000, 2_000_000, 1.0),
+    Method(Effect.NON_IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
+    Method(Effect.DEDUPLICATED, Group.ALL, 1_000_000, 2_500_000, 2_000_000, 1.0),
 )
 
 
 def plan(rate=4.0, burst=12.0, parallel=0, ceiling_rate=0.0, ceiling_burst=0.0, price=1.0):
-    return Plan("plan", rate, burst, price, 0.0, 0.5, parallel, ceiling_rate, ceiling_burst)
+    return Plan(rate, burst, price, parallel, ceiling_rate, ceiling_burst)
 
 
 def terms(plans=None, **changes):
     values = dict(
         seed=7, gateways=3, own_index=0, zone=0, methods=METHODS, plans=plans or (plan(),), call_outs_max=5,
-        can_call_off=True, can_probe=True, has_counter=True, settles=False, must_subscribe=False,
-        ask_within_us=0,
+        can_call_off=True, has_counter=True, settles=False, must_subscribe=False,
+       
         units_top=1.0, cold_share=0.25, warm_up_us=10_000_000, push_over_factor=2.0, push_over_us=1_500_000,
     )
     return Terms(**(values | changes))
@@ -37,7 +37,7 @@
         self.gateway = Gateway(terms(**changes), START)
         started = started or {}
         self.tell(FleetNews(True, False, [
-            Listed(i, i % 2, i % 3, 1.0, started.get(i, 0), State.READY) for i in range(fleet)]))
+            Listed(i, i % 2, i % 3, started.get(i, 0), State.READY) for i in range(fleet)]))
 
     def tell(self, event):
         actions = self.gateway.handle(event, self.now)
@@ -47,11 +47,11 @@
     def arrive(self, method=0, customer=0, units=1.0, width=3.0, wait=2_500_000, plan=0):
         self.next_rpc += 1
         return self.tell(Arrival(
-            self.next_rpc, method, plan, customer, 1000 + customer, wait, units, width, 0.0, False))
+            self.next_rpc, method, plan, customer, 1000 + customer, wait, units, width))
 
     def end(self, rpc, n, backend, outcome=Outcome.OK, closed=None, units=0.0):
         closed = outcome is Outcome.OK if closed is None else closed
-        return self.tell(CallOutEnded(rpc, n, backend, outcome, closed, 0, units, ()))
+        return self.tell(CallOutEnded(rpc, n, backend, outcome, closed, units))
 
     def pass_time(self, microseconds, answer=None):
         """Beats on the way; answer(action) may return an event for an action."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -124,7 +124,7 @@
 
 def test_a_draining_backend_gets_nothing_new_and_an_empty_fleet_is_answered():
     bench = Bench(fleet=1)
-    bench.tell(FleetNews(False, False, [Listed(0, 0, 0, 1.0, 0, State.DRAINING)]))
+    bench.tell(FleetNews(False, False, [Listed(0, 0, 0, 0, State.DRAINING)]))
     assert of(PushBack, bench.arrive())
 
 
@@ -165,7 +165,7 @@
 
 
 def test_a_lost_subscription_is_asked_for_again():
-    bench = Bench(must_subscribe=True, ask_within_us=10_000_000)
+    bench = Bench(must_subscribe=True)
     assert of(Subscribe, bench.pass_time(100_000))
     bench.tell(FleetNews(False, True))
     assert of(Subscribe, bench.pass_time(2_000_000))
@@ -176,7 +176,7 @@
     for _ in range(2):
         bench = Bench()
         for i in range(60):
-            bench.tell(Arrival(i, i % 4, 0, i % 3, i % 3, 2_500_000, 1.0, 3.0, 0.0, False))
+            bench.tell(Arrival(i, i % 4, 0, i % 3, i % 3, 2_500_000, 1.0, 3.0))
         bench.pass_time(3_000_000, count_all(9.0))
         logs.append(bench.log)
     assert logs[0] == logs[1]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -74,7 +74,7 @@
                         self.finish(r, len(rpc["outs"]) - 1, Outcome.TIMED_OUT)
         elif what == "list":
             self.state[number] = detail
-            self.tell(FleetNews(False, False, [Listed(number, number % 2, number % 3, 1.0, 0, detail)]))
+            self.tell(FleetNews(False, False, [Listed(number, number % 2, number % 3, 0, detail)]))
         elif self.rpcs:
             rpc = list(self.rpcs)[number % len(self.rpcs)]
             self.rpcs[rpc]["ended"] = True
