--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -427,7 +427,7 @@
         return best
 
     def usable(self, backend: Backend) -> bool:
-        return backend.ready and self.now >= backend.rests_until and self.cold_room(backend)
+        return self.now >= backend.rests_until and self.cold_room(backend)
 
     def warmth(self, backend: Backend) -> float:
         """The least share of its capacity that a backend has by now: 1 when warm."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -115,11 +115,26 @@
         assert isinstance(bench.end(1, 0, first.backend, Outcome.ERROR)[0], answer)
 
 
+def test_deduplicated_rpc_that_may_have_run_leaves_its_group_for_nothing():
+    for fleet, answer in ((2, Abort), (3, CallOut)):  # zones 0 and 1; then 0, 1 and 0
+        bench = Bench(fleet=fleet)
+        first = sent(bench.arrive(method=1))[0]
+        assert isinstance(bench.end(1, 0, first.backend, Outcome.ERROR)[0], answer)
+
+
 def test_timed_out_at_the_deadline_still_gets_an_answer():
+    for method, answer in ((2, Abort), (0, PushBack)):
+        bench = Bench()
+        first = sent(bench.arrive(method=method))[0]
+        bench.now += 2_500_000
+        after = bench.end(1, 0, first.backend, Outcome.TIMED_OUT, closed=False)
+        assert of(answer, after) and not sent(after)
+
+
+def test_what_a_whole_list_leaves_out_is_gone():
     bench = Bench()
-    first = sent(bench.arrive(method=2))[0]
-    bench.now += 2_500_000
-    assert of(Abort, bench.end(1, 0, first.backend, Outcome.TIMED_OUT, closed=False))
+    bench.tell(FleetNews(True, False, [Listed(3, 1, 0, 0, State.READY)]))
+    assert all(a.backend == 3 for a in load(bench, 3))
 
 
 def test_a_draining_backend_gets_nothing_new_and_an_empty_fleet_is_answered():
