--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 
 from stoneyoke.interface import (
     Abort, AddCount, Arrival, CallOff, CallOut, CountAnswer, FleetNews, Forget, Listed, Outcome, PushBack,
-    State, Subscribe,
+    State, StreamBegun, Subscribe,
 )
 
 
@@ -281,3 +281,13 @@
     for rpc, out in enumerate(outs, 1):
         bench.end(rpc, 0, out.backend)
     assert bench.gateway.room >= room and bench.gateway.taken < 0.2
+
+
+def test_a_begun_stream_is_left_alone_and_an_ended_one_lets_go():
+    bench = Bench()
+    first = sent(bench.arrive())[0]
+    bench.tell(StreamBegun(1))
+    later = bench.pass_time(5_000_000)
+    assert not of(CallOff, later) and not sent(later) and bench.gateway.holds(1)
+    bench.end(1, 0, first.backend)
+    assert not bench.gateway.holds(1)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -76,3 +76,9 @@
 def test_a_start_message_that_lacks_something_is_a_fault_that_names_it(broken):
     _, records, tail = replies(spawn(START | broken))[0]
     assert records[0][0] == 10 and repr(next(iter(broken))).strip("'") in tail.decode() or b"effect" in tail
+
+
+def test_an_exception_in_the_decisions_is_a_fault_with_its_text():
+    no_such_method = struct.pack("<BHIHIQIfffB", 3, 3, 0xABCD, 9, 0, 5, 500_000, 1.0, 1.0, 0.0, 0)
+    _, (_, records, tail) = replies(spawn() + frame([no_such_method], number=2))
+    assert records[-1][0] == 10 and b"IndexError" in tail
