Fractions for many gateways: cold budget, room, slices; one counter call for thin customers

Cause: floors of one call-out, one RPC or two mean RPCs a gateway add up over hundreds; measures rested on medians of mostly untouched backends; rooms moved by 0.02 an answer at three answers a second. Changed: cold budget as a store of fractions with a phase, room by chance, weight of an answer by how many there are, places counted within a hall, one counter call for thin customers weighted for those left out, others' call-outs by their rate, what takes no connection presumed cold, a swamped fleet is not gone round, order renewed by answers (CPU).

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -14,8 +14,8 @@
 """
 
 import math
-from collections import deque
-from collections.abc import Generator, Iterator
+from collections.abc import Callable, Generator
+from typing import Any, NamedTuple
 
 from stoneyoke.interface import (
     Abort, Action, AddCount, Arrival, CallOff, CallOut, CallOutEnded, ClientGone, CountAnswer, Effect, Event,
@@ -37,9 +37,9 @@
     def __init__(self, seed: int) -> None:
         self.state = seed
 
-    def below(self, limit: int) -> int:
+    def draw(self) -> float:
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) % 2**64
-        return (self.state >> 32) * max(0, limit) >> 32
+        return (self.state >> 32) / 2**32
 
 
 class Store:
@@ -55,9 +55,8 @@
 
     def reshape(self, rate: float, depth: float, now: int) -> None:
         """A changing slice mints nothing: what is held stays, at most up to the new depth."""
-        self.fill(now)
+        self.level = min(self.fill(now), depth)
         self.rate, self.depth = rate, depth
-        self.level = min(self.level, depth)
 
     def wait_for(self, units: float, now: int) -> int:
         lack = units - self.fill(now)
@@ -68,64 +67,71 @@
 
 
 class Customer:
-    """A customer at this gateway. Emptied out by sweep() once its store is full and it has been idle."""
+    """A customer at this gateway. Dropped by sweep() once its store is full and it has been idle."""
 
     def __init__(self, call: Arrival, plan: Plan, terms: Terms, lump: float, now: int, born: int) -> None:
         self.index, self.account, self.plan = call.customer, call.account, plan
         width = call.width if math.isfinite(call.width) and call.width >= 1 else terms.gateways
         self.even = 1 / min(width, terms.gateways)
-        self.units_top = min(plan.burst, max(terms.units_top, 1))
         self.slice, self.lump = self.even, lump
         self.store = Store(plan.rate * self.even, self.depth(), self.depth(), now)
-        # Rule 5: a restarted gateway can't know what its earlier life sent, so the ceiling starts empty
-        # at the start of this life and only time fills it; a customer seen later finds what time has brought.
+        # Rule 5: an earlier life may have sent all, so the ceiling starts empty at this life's start and only
+        # time fills it.
         rate, depth = plan.ceiling_rate * self.even, plan.ceiling_burst * self.even
         self.ceiling = Store(rate, depth, min(depth, rate * (now - born) / SECOND), now)
-        self.out = 0
-        self.seen = now
-        self.demand = self.told = 0.0  # this second's and the finished second's, in units
-        self.own = self.total = 0.0  # decayed sums of counted seconds
+        self.out, self.seen = 0, now
+        self.demand = 0.0  # this period's, in units
+        # Decayed sums over periods, and their lengths: own demand, and what the others were counted with.
+        self.own = self.own_time = self.others = self.others_time = 0.0
         self.heard = -LONGEST_WAIT
         # Seconds in which an even slice refills by two of the largest RPCs, 1 or 2: thin demand shows late.
         # Read off the plan alone, so that all gateways agree; a second each doubled the calls for nothing.
-        fill = terms.units_top / max(plan.rate * self.even, 0.01)
-        self.period = min(2, max(1, math.ceil(2 * fill)))
-        self.due = False
-        self.counting_until = 0
-        self.advised_until = self.blocked_until = 0
+        self.period = 1 if 2 * terms.units_top <= plan.rate * self.even else 2
+        # Its even slice holds no whole RPC a period: each of many gateways sees one of its RPCs now and then.
+        self.thin = plan.rate * self.even * self.period < lump
+        self.counting_until = self.advised_until = self.blocked_until = 0
         self.tries = self.early = self.step = 0
 
     def depth(self) -> float:
-        # Units come in lumps: a slice is rounded up by two mean RPCs (1 and 1.5 gave 0.01 to 0.08 less), and
-        # holds the largest, which a thinner one would shut out for good. Refill stays the slice's, so over
-        # time nothing is minted.
-        return min(self.plan.burst, max(self.plan.burst * self.slice + 2 * self.lump, self.units_top))
+        # Units come in lumps: a slice is rounded up, by two mean RPCs with few gateways (1 and 1.5 gave 0.01
+        # to 0.08 less), by little over one with many, where roundings add up. Refill mints nothing.
+        return min(self.plan.burst, self.plan.burst * self.slice + (1 + min(1.0, 12 * self.even)) * self.lump)
 
     def take_slice(self, part: float, now: int) -> None:
         self.slice = max(part, self.even / 10)
         self.store.reshape(self.plan.rate * self.slice, self.depth(), now)
 
-    def parallel_full(self, age: float) -> bool:
-        # Rounded down, so that the gateways' parts never sum above the cap (but for one each). A young life,
-        # under a soft deadline of age, leaves room for what an earlier one may still have out.
-        part = self.plan.parallel * self.slice * min(1.0, age)
-        return self.plan.parallel > 0 and self.out >= max(1, int(part + 1e-9))
+    def parallel_full(self, taken: float) -> bool:
+        """What the others have out is told by their rate and the time that an RPC takes (Little's law): a
+        part rounded to whole call-outs would be nothing, or one for each of a hundred gateways."""
+        if self.plan.rate <= 0:
+            return 0 < self.plan.parallel and self.out >= max(1, int(self.plan.parallel * self.slice + 1e-9))
+        others = self.others / self.others_time if self.others_time else self.plan.rate * (1 - self.slice)
+        return 0 < self.plan.parallel <= self.out + min(self.plan.rate, others) / self.lump * taken
 
 
 class Backend:
     """A listed backend as this gateway has measured it. Dropped when gone and nothing is out."""
 
     def __init__(self, index: int) -> None:
-        self.index, self.zone, self.cell, self.started, self.ready = index, 0, 0, 0, False
-        self.gone = False
+        self.index, self.zone, self.cell, self.started, self.state = index, 0, 0, 0, State.GONE
         self.out = self.overdue = 0
         self.pace = 1.0  # time taken, in means of its methods
         self.failures = 0.0  # decayed share of call-outs that failed
-        self.rests_until = 0
         self.quiet_since = 0  # the last answer, or the first call-out after a pause
-        self.band = 0
-        self.cold_sent: deque[int] = deque()  # send times in the window; emptied as they leave it
-        self.rate = 0.0  # own call-outs a second, decayed
+        self.band = self.place = self.rests_until = self.measured = 0
+        self.shown = 1.0  # the pace, or how long it has been quiet if that is more
+        self.cold = Store(0.0, 1.0, 0.0, 0)  # call-outs that it may get while it is cold
+
+
+class Call(NamedTuple):
+    """A counter call; part: how much of the period's additions its answer holds, 0 if it is not read."""
+
+    name: int
+    amount: float
+    customer: int = 0
+    told: float = 0.0
+    part: float = 0.0
 
 
 class MethodRow:
@@ -133,6 +139,7 @@
 
     def __init__(self, soft_us: int) -> None:
         self.mean = soft_us / 6  # a first guess of the time taken; answers soon replace it
+        self.seen = 0
         self.longest = 0  # the longest wait that a client's try came with: a first try's
 
 
@@ -143,12 +150,8 @@
         self.call, self.begun = call, now
         self.steps: Rpc | None = None
         self.outs: dict[int, tuple[int, int]] = {}  # call-out number -> backend, time
-        self.sent = 0
-        self.look_at = 0
-        self.slow_at = 0  # call-outs whose slowness has been counted
+        self.sent = self.look_at = self.slow_at = 0  # slow_at: call-outs whose slowness has been counted
         self.ended = False
-        self.streaming = False
-        self.drawn = False
 
 
 class Gateway:
@@ -160,19 +163,25 @@
         self.customers: dict[int, Customer] = {}
         self.backends: dict[int, Backend] = {}
         self.order: list[Backend] = []
+        self.news, self.renewed = 0, now  # looks and answers since the order was renewed, and when it was
+        self.usual = 1.0  # the median pace of the backends measured of late
         self.out, self.usual_out, self.room = 0, 4.0, 16.0
         self.counter_heard = self.counter_asked = now
-        self.reads: dict[int, tuple[int, float]] = {}  # name -> customer, own demand; until answered
-        self.beat = 0
+        self.agenda: dict[int, list[Call]] = {}  # beat -> calls; renewed each second
+        self.reads: dict[int, Call] = {}  # by name; until answered
+        self.beat = self.misses = 0  # misses: counter calls in a row without an answer
+        self.swamped = 0.0  # running share of call-outs turned away or out of time
         self.taken = 0.1  # running mean of the time taken by good answers, in soft deadlines
-        self.warm_rate = 0.0  # call-outs a second that a warm backend gets from this gateway, the median
+        self.answers = 0.0  # good answers a second from warm backends, decayed
         self.reading = 1.0  # the part of the reads that is made
         self.value = 0.0  # running mean of utility for the time taken
         self.lump = 1.0  # running mean of the RPCs' cost
-        self.subscribe_at = now if terms.must_subscribe else 0
+        self.subscribe_at: float = now
         self.actions: list[Action] = []
-        self.ticking = False
-        self.woke = 0
+        self.ticking, self.woke = False, 0
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            Arrival: self.arrive, CallOutEnded: self.ended, TimerFired: self.tick, CountAnswer: self.counted,
+            FleetNews: self.listed, ClientGone: self.client_gone, StreamBegun: self.stream_begun}
 
     def holds(self, rpc: int) -> bool:
         return rpc in self.open
@@ -187,24 +196,7 @@
         if not self.ticking:
             self.ticking = True
             self.set_beat()
-        match event:
-            case Arrival():
-                self.arrive(event)
-            case CallOutEnded():
-                self.ended(event)
-            case TimerFired():
-                self.tick()
-            case CountAnswer():
-                self.counted(event)
-            case FleetNews():
-                self.listed(event)
-            case ClientGone():
-                if rpc := self.open.get(event.rpc):
-                    rpc.ended = True
-                    self.drop_if_done(rpc)
-            case StreamBegun():
-                if rpc := self.open.get(event.rpc):
-                    rpc.streaming = True
+        self.handlers[type(event)](event)
         return self.actions
 
     # ---- one RPC, from top to bottom ----
@@ -225,8 +217,7 @@
                 break
             if not (backend := self.choose(tried, claim, None if unrun else home, method.group)):
                 break
-            if not rpc.drawn:
-                rpc.drawn = True
+            if rpc.sent == 0:
                 # Only from stores that refill: else one would never be full, its customer never forgotten.
                 customer.store.level -= call.units if customer.plan.rate > 0 else 0.0
                 customer.ceiling.level -= call.units if customer.plan.ceiling_rate > 0 else 0.0
@@ -238,13 +229,15 @@
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
                     backend.overdue += 1
-                    if backend.band < 2 and self.jammed() and rpc.outs[rpc.sent - 1][1] >= self.woke:
+                    self.news += 4  # the order is renewed at the next look
+                    if self.near(backend) and self.jammed() and rpc.outs[rpc.sent - 1][1] >= self.woke:
                         self.press(1.0)
                 # Quiet backend: nothing has come back from it for as long as this call-out is out, while
                 # the fleet answers: in a jam of all, sending again would only feed it.
-                quiet = backend.band >= 2 and self.now - backend.quiet_since >= self.patience(call.method)
-                if quiet and method.effect is not Effect.NON_IDEMPOTENT and self.terms.can_call_off and (
-                        self.may_repeat(method.effect, first_at + method.memory_us)):
+                quiet = not self.near(backend) and (
+                    self.now - backend.quiet_since >= self.patience(call.method))
+                remembered = method.effect is Effect.DEDUPLICATED and self.now < first_at + method.memory_us
+                if quiet and self.terms.can_call_off and (method.effect is Effect.IDEMPOTENT or remembered):
                     result = yield CallOff(call.rpc, rpc.sent - 1)
                 else:
                     result = yield self.patience(call.method) // 4
@@ -254,27 +247,27 @@
                 unrun = False
                 if method.effect is Effect.NON_IDEMPOTENT:
                     break
-            if self.now >= rpc.begun + call.wait_us - method.soft_us // 8:
+            # Too late for another, or the fleet is full: going round that would only keep it so.
+            if self.now >= rpc.begun + call.wait_us - method.soft_us // 8 or (
+                    result.outcome is Outcome.TURNED_AWAY and self.swamped > 0.4):
                 break
         # Rule 2: a pushback says that trying again is harmless.
         harmless = unrun or method.effect is Effect.IDEMPOTENT or (
             method.effect is Effect.DEDUPLICATED and method.group is Group.ALL)
-        yield PushBack(call.rpc, self.pressed_wait(call.method)) if harmless else Abort(call.rpc)
-
-    def may_repeat(self, effect: Effect, until: int) -> bool:
-        return effect is Effect.IDEMPOTENT or self.now < until
+        # The pressed back end's own wait: a soft deadline, in which a full one empties.
+        yield PushBack(call.rpc, self.jittered(method.soft_us)) if harmless else Abort(call.rpc)
 
-    def patience(self, method: int) -> int:
-        """How long a call-out is out before it counts as slow and its backend is looked at."""
+    def patience(self, method: int) -> int:  # after which a call-out counts as slow
         return self.terms.methods[method].soft_us * 3 // 5
 
     def claim(self, call: Arrival) -> float:
-        """The part of the room that an RPC may fill. A client's later try that can no longer be ok within
-        the soft deadline leaves most of it to those that can; told by a wait shorter than a first try's."""
+        """The part of the room that an RPC may fill. A later try that can no longer be ok within the soft
+        deadline leaves most of it to those that can; told by a wait shorter than a first try's."""
         method, row = self.terms.methods[call.method], self.methods[call.method]
         row.longest = max(row.longest, call.wait_us)
-        late = method.deadline_us - call.wait_us > 0.8 * method.soft_us
-        if late and call.wait_us < 0.98 * row.longest:
+        if call.wait_us < 0.7 * row.mean:  # it would be given up before it is answered
+            return 0.1
+        if method.deadline_us - call.wait_us > 0.8 * method.soft_us and call.wait_us < 0.98 * row.longest:
             return 0.4  # 0.5 and 0.3 each gave up more on one kind of incident
         # Utility for the time it takes, against the running mean: the cheaper half of it leaves first.
         value = method.utility * self.terms.plans[call.plan].price * call.units / row.mean
@@ -284,127 +277,120 @@
     # ---- quotas ----
 
     def customer(self, call: Arrival) -> Customer:
-        customer = self.customers.get(call.customer)
-        if customer is None:
+        if not math.isfinite(call.units) or call.units <= 0:
+            call.units = max(1.0, self.terms.units_top)  # an unreadable cost counts as the dearest
+        self.lump += (call.units - self.lump) * 0.05
+        if not (customer := self.customers.get(call.customer)):
             customer = Customer(call, self.terms.plans[call.plan], self.terms, self.lump, self.now, self.born)
             self.customers[call.customer] = customer
         customer.seen, customer.lump = self.now, self.lump
-        if not math.isfinite(call.units) or call.units <= 0:
-            call.units = max(1.0, self.terms.units_top)  # an unreadable cost counts as the dearest
-        self.lump += (call.units - self.lump) * 0.02
         return customer
 
     def quota_wait(self, customer: Customer, call: Arrival) -> int | None:
         """None: the store can take it. Else the advised wait, with what escalation adds."""
         plan, wait = customer.plan, 0
         if plan.rate > 0:
-            wait = customer.store.wait_for(call.units, self.now)
+            if customer.store.fill(self.now) - call.units < 0.5 * customer.store.depth:
+                customer.counting_until = self.now + (2 + customer.period) * SECOND
+            # A full store takes an RPC dearer than it holds, and owes the rest: else that is shut out.
+            wait = customer.store.wait_for(min(call.units, customer.store.depth), self.now)
             if call.units > customer.plan.burst:
                 wait = LONGEST_WAIT
         if plan.ceiling_rate > 0:
             wait = max(wait, customer.ceiling.wait_for(call.units, self.now))
-        if customer.parallel_full((self.now - self.born) / self.terms.methods[call.method].soft_us):
+        if customer.parallel_full(self.methods[call.method].mean / SECOND):
             wait = max(wait, int(self.methods[call.method].mean))
+        # Nine early returns in ten RPCs: double the wait; nine in ten again: block. Else back to plain.
         customer.tries += 1
+        customer.early += wait > 0 and self.now < customer.advised_until
+        if customer.tries >= 10:
+            customer.step = min(2, customer.step + 1) if customer.early >= 9 else 0
+            if customer.step == 2:
+                customer.blocked_until = self.now + 5 * SECOND
+            customer.tries = customer.early = 0
         if wait <= 0:
-            self.escalate(customer)
             return None
-        if self.now < customer.advised_until:
-            customer.early += 1
-        self.escalate(customer)
         wait = min(LONGEST_WAIT, wait * (2 if customer.step else 1))
-        wait = max(wait, customer.blocked_until - self.now)
-        advised = wait + self.jitter(wait)
-        customer.advised_until = self.now + advised
-        return advised
-
-    def escalate(self, customer: Customer) -> None:
-        """Nine early returns in ten RPCs: double the wait; nine in ten again: block. Else back to plain."""
-        if customer.tries < 10:
-            return
-        if customer.early >= 9:
-            customer.step = min(2, customer.step + 1)
-            if customer.step == 2:
-                customer.blocked_until = self.now + 5 * SECOND
-        else:
-            customer.step = 0
-        customer.tries = customer.early = 0
-
-    def jitter(self, wait: int) -> int:
-        return self.chance.below(min(LONGEST_WAIT, max(SECOND, wait)) + 1)
+        wait = self.jittered(max(wait, customer.blocked_until - self.now))
+        customer.advised_until = self.now + wait
+        return wait
 
-    def pressed_wait(self, method: int) -> int:
-        """The pressed back end's own wait: a soft deadline, in which a full backend empties, plus jitter."""
-        wait = self.terms.methods[method].soft_us
-        return wait + self.jitter(wait)
+    def jittered(self, wait: int) -> int:
+        return wait + int(self.chance.draw() * (min(LONGEST_WAIT, max(SECOND, wait)) + 1))
 
     # ---- slices from counted demand ----
 
-    def count_name(self, customer: Customer, second: int) -> int:
-        return (customer.account * 0x9E3779B97F4A7C15 + second * 0xD1B54A32D192ED03) % 2**64
-
     def close_second(self) -> None:
-        """At each second's end: what was demanded becomes the finished second's figure."""
-        second = self.now // SECOND
+        """At each second's end: the demand is finished, and its counter calls are laid out: beats 1 to 8 add,
+        11 to 18 read, by account. A thin customer has one call, which returns what was added by then."""
+        second, self.agenda = self.now // SECOND, {}
+        silent = self.misses >= 3 and self.counter_asked - self.counter_heard > SECOND
         for customer in list(self.customers.values()):
-            customer.due = (second + customer.account) % customer.period == 0
-            if customer.due:
-                customer.told, customer.demand = customer.demand, 0.0
-            plan = customer.plan
-            if plan.rate > 0 and customer.store.fill(self.now) < 0.5 * customer.store.depth:
-                customer.counting_until = self.now + (2 + customer.period) * SECOND
-            stale = 2 * SECOND if self.counter_silent() else 20 * SECOND
-            if self.now - customer.heard > stale and customer.slice != customer.even:
-                customer.own = customer.total = 0.0
-                customer.take_slice(customer.even, self.now)
+            if (second + customer.account) % customer.period == 0:
+                told, customer.demand = customer.demand, 0.0
+                customer.own = 0.6 * customer.own + told
+                customer.own_time = 0.6 * customer.own_time + customer.period
+                if self.now < customer.counting_until and customer.even < 1 and self.terms.has_counter:
+                    self.lay_out(customer, told, second)
+            if self.now - customer.heard > (2 if silent else 20) * SECOND:
+                customer.others = customer.others_time = 0.0
+            self.renew_slice(customer)
             self.sweep(customer)
 
-    def counter_silent(self) -> bool:
-        return self.counter_asked - self.counter_heard > SECOND
+    def lay_out(self, customer: Customer, told: float, second: int) -> None:
+        name = (customer.account * 0x9E3779B97F4A7C15 + second * 0xD1B54A32D192ED03) % 2**64
+        if not customer.thin:
+            slot = customer.account % 8
+            if told > 0:
+                self.agenda.setdefault(1 + slot, []).append(Call(name, told))
+            if self.chance.draw() < self.reading:
+                self.agenda.setdefault(11 + slot, []).append(Call(name, 0.0, customer.index, told, 1.0))
+        elif told > 0 and self.chance.draw() < self.reading:
+            # What is left out while calls are turned away is made up for by the weight of what is told.
+            slot, told = int(18 * self.chance.draw()), told / self.reading
+            self.agenda.setdefault(1 + slot, []).append(
+                Call(name, told, customer.index, told, (slot + 0.5) / 18))
+
+    def renew_slice(self, customer: Customer) -> None:
+        """Own part of the counted demand; even while nothing is known of the others."""
+        own = customer.own / max(customer.own_time, 1)
+        demand = own + customer.others / max(customer.others_time, 0.01)
+        known = customer.others_time > 0 and demand > 0
+        customer.take_slice(own / demand if known else customer.even, self.now)
 
     def sweep(self, customer: Customer) -> None:
-        idle = self.now - customer.seen > 10 * SECOND and customer.out == 0
-        if idle and customer.store.fill(self.now) >= customer.store.depth and (
-                customer.ceiling.fill(self.now) >= customer.ceiling.depth):
+        stores = (customer.store, customer.ceiling)
+        if self.now - customer.seen > 10 * SECOND and not customer.out and all(
+                store.fill(self.now) >= store.depth for store in stores):
             del self.customers[customer.index]
             self.actions.append(Forget(customer.index))
 
     def count(self) -> None:
-        """Beats 1 to 8 of a second add, beats 11 to 18 read; customers are spread over them by account."""
-        second, beat = self.now // SECOND, self.beat
-        for customer in self.customers.values():
-            if not customer.due or self.now >= customer.counting_until or customer.even == 1:
-                continue
-            slot, name = customer.account % 8, self.count_name(customer, second)
-            if beat == 1 + slot and customer.told > 0:
-                self.ask_counter(name, customer.told)
-            elif beat == 11 + slot and self.chance.below(1000) < 1000 * self.reading:
-                self.reads[name] = (customer.index, customer.told)
-                self.ask_counter(name, 0.0)
-
-    def ask_counter(self, name: int, amount: float) -> None:
-        self.counter_asked = self.now
-        self.actions.append(AddCount(name, 5 * SECOND, amount))
+        for beat in [b for b in self.agenda if b <= self.beat]:
+            for call in self.agenda.pop(beat):
+                self.counter_asked = self.now
+                if call.part:
+                    self.reads[call.name] = call
+                self.actions.append(AddCount(call.name, 5 * SECOND, call.amount))
 
     def counted(self, answer: CountAnswer) -> None:
+        self.misses = 0 if answer.added else self.misses + 1
         if answer.added:
             self.counter_heard = self.now
-        # A crowded counter turns calls away: fewer reads, since lost additions would mislead the others. In
-        # balance at one call in six lost; slower steps (0.002, 0.02) stayed thin long after a silence.
+        # A crowded counter turns calls away: fewer calls, in balance at one in six lost; slower steps (0.002,
+        # 0.02) stayed thin long after a silence.
         self.reading = min(1.0, self.reading + 0.01) if answer.added else max(0.1, self.reading - 0.05)
-        if answer.name not in self.reads:
-            return  # the answer to an addition
-        index, own = self.reads.pop(answer.name)
-        customer = self.customers.get(index)
-        if customer is None or not answer.added or not math.isfinite(answer.total):
+        call = self.reads.pop(answer.name, None)  # none: the answer to an addition
+        customer = self.customers.get(call.customer) if call else None
+        if not call or not customer or not answer.added or not math.isfinite(answer.total):
             return
-        if answer.total < own * 0.999:  # lost counts: as if the counter were silent
+        if answer.total < call.told * 0.999:  # lost counts: as if the counter were silent
             return
+        fade = 0.6 ** min(20.0, (self.now - customer.heard) / SECOND / customer.period)
         customer.heard = self.now
-        customer.own = 0.6 * customer.own + own
-        customer.total = 0.6 * customer.total + answer.total
-        if customer.total > 0:
-            customer.take_slice(min(1.0, customer.own / customer.total), self.now)
+        customer.others = fade * customer.others + answer.total - call.told
+        customer.others_time = fade * customer.others_time + call.part * customer.period
+        self.renew_slice(customer)
 
     # ---- choice of backend ----
 
@@ -412,24 +398,28 @@
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
         best, best_fill = None, math.inf
         jammed = self.jammed()
-        filled = sum(b.out - (0 if jammed else b.overdue) for b in self.order if b.band < 2)
-        if filled >= max(1.0, self.room * claim):
+        filled = sum(b.out - (0 if jammed else b.overdue) for b in self.order if self.near(b))
+        # Where gateways are many a room is a fraction: by chance, so that the parts sum to the whole.
+        if filled + self.chance.draw() >= self.room * claim:
             return None
         limit = max(1.0, 2 * self.room / max(1, len(self.order)))
         for backend in self.order:
             if backend.index in tried or not self.usable(backend):
                 continue
-            if home and group is Group.ZONE and backend.zone != home.zone:
-                continue
-            if home and group is Group.CELL and backend.cell != home.cell:
+            if home and (group is Group.ZONE and backend.zone != home.zone or (
+                    group is Group.CELL and backend.cell != home.cell)):
                 continue
             fill = backend.out + backend.band
             if fill < best_fill and backend.out < limit:
                 best, best_fill = backend, fill
+                if fill <= 0:
+                    break
         return best
 
     def usable(self, backend: Backend) -> bool:
-        return self.now >= backend.rests_until and self.cold_room(backend)
+        """Rule 4: a cold one only within this gateway's part of its budget."""
+        return self.now >= backend.rests_until and (
+            self.warmth(backend) >= 1.0 or backend.cold.fill(self.now) >= 1.0)
 
     def warmth(self, backend: Backend) -> float:
         """The least share of its capacity that a backend has by now: 1 when warm."""
@@ -438,44 +428,54 @@
             return 1.0
         return self.terms.cold_share + (1 - self.terms.cold_share) * max(0, age) / warm_up
 
-    def cold_room(self, backend: Backend) -> bool:
-        """Rule 4: this gateway's part of the window's budget, from what a warm peer gets of it."""
-        warmth = self.warmth(backend)
-        if warmth >= 1.0:
-            return True
-        window = self.terms.push_over_us
-        while backend.cold_sent and backend.cold_sent[0] <= self.now - window:
-            backend.cold_sent.popleft()
-        # 0.6: the middle between losing the backend to chance and leaving it idle.
-        budget = 0.6 * self.terms.push_over_factor * warmth * self.warm_rate * window / SECOND
-        return len(backend.cold_sent) < max(1, int(budget))
+    def budget_cold(self, fleet: list[Backend]) -> None:
+        """Each gateway grants its part, be it a fraction of a call-out: the parts sum to the whole."""
+        warm = sum(self.warmth(b) >= 1.0 for b in fleet)
+        share, window = self.answers / max(1, warm), self.terms.push_over_us / SECOND
+        for backend in fleet:
+            if (warmth := self.warmth(backend)) < 1.0:
+                # At most half of it over time, a quarter at once, and its part of the load (twice that cost
+                # 0.02 to 0.1). Two a window from all gateways at least: a fleet all cold must get going.
+                rate = min(1.0, 0.5 * self.terms.push_over_factor) * warmth * share
+                rate = max(rate, 2 / self.terms.gateways / window)
+                backend.cold.reshape(rate, max(1.0, 0.5 * rate * window), self.now)
+
+    def presume_started(self, backend: Backend, at: int) -> None:
+        # The cold budget's phase is each gateway's own, so that they don't all grant at once.
+        backend.started, backend.cold = at, Store(0.0, 1.0, self.chance.draw(), self.now)
 
     def renew_order(self) -> None:
-        """Ranks by bands of pace against the fleet's median, then own zone, then a place of one's own."""
-        fleet = sorted((b for b in self.backends.values() if b.ready), key=lambda b: b.index)
+        """By bands of pace against the fleet's median, cold ones first, own zone, a place of one's own."""
+        steps, self.news, self.renewed = (self.now - self.renewed) / (5 * BEAT), 0, self.now
+        fleet = sorted((b for b in self.backends.values() if b.state is State.READY), key=lambda b: b.index)
+        self.order = []
         if not fleet:
-            self.order = []
             return
         means = sum(m.mean for m in self.methods) / len(self.methods)
-        paces = {}
+        rest, fade = 0.98**steps, 0.95**steps
         for backend in fleet:
             quiet = (self.now - backend.quiet_since) / means / 2 if backend.out else 0
-            paces[backend.index] = max(backend.pace, quiet, 0.01)
-            if not backend.out:
-                backend.pace += (1 - backend.pace) * 0.02
-            backend.rate *= 0.9
-            backend.failures *= 0.95
-        median = sorted(paces.values())[len(fleet) // 2]
+            backend.shown = max(backend.pace, quiet, 0.01)
+            backend.pace = 1 + (backend.pace - 1) * (1 if backend.out else rest)
+            backend.failures *= fade
+        # Never called, one tells nothing of a jam; the 1.0 is for a single measured one, which is no norm.
+        late = sorted([1.0] + [b.shown for b in fleet if b.out or self.now - b.measured < 5 * SECOND])
+        self.usual = late[(len(late) - 1) // 2]
+        median = sorted(b.shown for b in fleet)[len(fleet) // 2]
         failing = sorted(b.failures for b in fleet)[len(fleet) // 2]
-        rates = sorted(b.rate for b in fleet if self.warmth(b) >= 1.0)
-        self.warm_rate = rates[len(rates) // 2] if rates else 0.0
-        shift = self.terms.own_index * len(fleet) // self.terms.gateways
+        self.budget_cold(fleet)
+        # Places are counted within own zone and without: over all, its gateways would begin at one backend.
+        for here in (True, False):
+            hall = [b for b in fleet if (b.zone == self.terms.zone) is here]
+            for at, backend in enumerate(hall):
+                backend.place = (at - self.terms.own_index * len(hall) // self.terms.gateways) % len(hall)
         for backend in fleet:
-            backend.band = max(0, int(math.log(paces[backend.index] / median) / math.log(1.5)))
+            backend.band = max(0, int(math.log(backend.shown / median) / math.log(1.5)))
             if backend.failures > failing + 0.4 and self.now >= backend.rests_until:
                 backend.rests_until = self.now + SECOND
-        places = {b.index: (i - shift) % len(fleet) for i, b in enumerate(fleet)}
-        self.order = sorted(fleet, key=lambda b: (b.band, b.zone != self.terms.zone, places[b.index]))
+        # A cold one goes first in its band: its budget is kept, and so all gateways' parts are used.
+        self.order = sorted(
+            fleet, key=lambda b: (b.band, self.warmth(b) >= 1.0, b.zone != self.terms.zone, b.place))
 
     # ---- events ----
 
@@ -500,9 +500,7 @@
                 backend.quiet_since = self.now
             backend.out += 1
             self.out += 1
-            backend.rate += 0.4  # with a tenth lost each 250 ms: a running mean of call-outs a second
-            if self.warmth(backend) < 1.0:
-                backend.cold_sent.append(self.now)
+            backend.cold.level -= self.warmth(backend) < 1.0
             self.customers[rpc.call.customer].out += 1
             rpc.outs[rpc.sent] = (wish.backend, self.now)
             rpc.sent += 1
@@ -517,6 +515,15 @@
         if rpc.ended and not rpc.outs:
             self.open.pop(rpc.call.rpc, None)
 
+    def client_gone(self, event: ClientGone) -> None:
+        if rpc := self.open.get(event.rpc):
+            rpc.ended = True
+            self.drop_if_done(rpc)
+
+    def stream_begun(self, event: StreamBegun) -> None:
+        if rpc := self.open.get(event.rpc):
+            rpc.look_at = self.now + 3600 * SECOND  # left alone from here on
+
     def ended(self, result: CallOutEnded) -> None:
         rpc = self.open.get(result.rpc)
         if rpc is None or result.n not in rpc.outs:
@@ -528,97 +535,104 @@
         self.out -= 1
         customer = self.customers[rpc.call.customer]
         customer.out -= 1
-        settled = self.terms.settles and customer.plan.rate > 0 and result.outcome is Outcome.OK
-        if settled and result.units > 0:
+        if self.terms.settles and customer.plan.rate > 0 and result.units > 0:  # told with the first ok
             customer.store.level += rpc.call.units - result.units
-        self.measure(backend, rpc, result, sent_at)
-        if result.closed:
-            rpc.ended = True
-        elif not rpc.ended:
-            self.resume(rpc, result)
+        if sent_at >= self.woke:
+            self.measure(backend, rpc, result, sent_at)
+        rpc.ended = rpc.ended or result.closed
+        self.resume(rpc, result)
         self.drop_if_done(rpc)
 
     def measure(self, backend: Backend, rpc: OpenRpc, result: CallOutEnded, sent_at: int) -> None:
+        self.news += 1
         took, row = self.now - sent_at, self.methods[rpc.call.method]
-        if sent_at < self.woke:
-            return
         if result.outcome in (Outcome.OK, Outcome.ERROR, Outcome.TURNED_AWAY):
             backend.quiet_since = self.now
         failed = result.outcome not in (Outcome.OK, Outcome.CALLED_OFF, Outcome.TURNED_AWAY, Outcome.NOT_SENT)
         backend.failures += (failed - backend.failures) * 0.25
         if result.outcome is Outcome.OK:
-            row.mean += (took - row.mean) * 0.02
+            # With a tenth lost each 250 ms: a running mean of answers a second.
+            self.answers += 0.4 * (self.warmth(backend) >= 1.0)
+            row.seen += 1
+            row.mean += (took - row.mean) * max(0.02, 1 / (row.seen + 5))
         if result.outcome is Outcome.NO_CONNECTION:
+            # Whatever takes no connection may have died, and comes back cold before any list tells.
             backend.rests_until = self.now + SECOND
+            self.presume_started(backend, self.now + SECOND)
         elif result.outcome is not Outcome.NOT_SENT:
             # A quick refusal or error is no quick answer: else a backend that refuses all would draw all.
             means = took / row.mean if result.outcome is Outcome.OK else max(3.0, took / row.mean)
             backend.pace += (means - backend.pace) * 0.15
+            backend.measured = self.now
         # A backend far off the fleet, or one that won't have this RPC, says nothing of the fleet's room.
-        taken = took / self.terms.methods[rpc.call.method].soft_us
+        taken = min(1.5, took / self.terms.methods[rpc.call.method].soft_us)
         if result.outcome is Outcome.OK:
-            self.taken += (min(1.5, taken) - self.taken) * 0.05
-        if backend.band < 2 and (result.outcome is Outcome.OK or (
-                result.outcome not in PROVEN_UNRUN and self.jammed())):
-            self.press(min(1.5, taken))
+            self.taken += (taken - self.taken) * self.weight(0.4)
+        swamped = result.outcome in (Outcome.TURNED_AWAY, Outcome.TIMED_OUT)
+        if result.outcome is Outcome.OK or swamped:
+            self.swamped += (swamped - self.swamped) * self.weight(0.4)
+        if result.outcome is Outcome.OK and self.near(backend):
+            self.press(taken)
+        elif swamped and self.swamped > 0.4 or (
+                result.outcome not in PROVEN_UNRUN and self.near(backend) and self.jammed()):
+            self.press(1.0)
+
+    def near(self, backend: Backend) -> bool:
+        """Not far off the others that were measured of late."""
+        return backend.shown < 2.25 * self.usual
 
     def jammed(self) -> bool:
-        """Call-outs without an answer show a jam only while the answers are slow too; else they are lost, and
-        what is lost must not fill the room."""
-        return self.taken > 0.3
+        """Call-outs without an answer show a jam only while answers are slow too; else they are lost."""
+        return self.taken > 0.3 or self.swamped > 0.4
 
     def press(self, taken: float) -> None:
         """One more call-out's time, in soft deadlines. Held near 0.35: the fleet full, few answers late."""
-        # 0.02 a call-out: with some fifty answers a second, half a second of jam takes a third off.
-        if self.out >= 0.5 * self.room:
-            self.room *= 1 + 0.02 * (0.35 - taken)
-        # One call-out a backend, shared by the gateways, never jams a fleet: no less than that.
-        self.room = max(1.0, 1.5 * len(self.order) / self.terms.gateways, self.room)
+        if taken > 0.35 or self.out + 1 >= 0.5 * self.room:
+            self.room *= 1 + self.weight(1.0) * (0.35 - taken)
+        # One and a half a backend, shared by the gateways, never jam a fleet: no less than that.
+        self.room = max(1.5 * len(self.order) / self.terms.gateways, self.room)
 
-    def move_room(self) -> None:
-        """Room that is not used would let a sudden jam in unchecked."""
-        self.usual_out += (self.out - self.usual_out) * 0.1
-        self.room = min(self.room, 3 * self.usual_out + 4)
+    def weight(self, seconds: float) -> float:
+        """What an answer weighs in a mean over so many seconds of them; few weigh more, but not by chance."""
+        return min(0.3, 1 / seconds / max(1.0, self.answers))
 
     def listed(self, news: FleetNews) -> None:
         if news.failed:
-            if self.terms.must_subscribe:  # half a second to one and a half: the list service is shared
-                self.subscribe_at = self.now + SECOND // 2 + self.chance.below(SECOND)
+            self.subscribe_at = self.now + int((0.5 + self.chance.draw()) * SECOND)
             return
         if news.whole:
             for backend in self.backends.values():
-                backend.ready, backend.gone = False, True
+                backend.state = State.GONE
         for entry in news.entries:
             backend = self.backends.setdefault(entry.backend, Backend(entry.backend))
-            backend.zone, backend.cell, backend.started = entry.zone, entry.cell, entry.started_us
-            backend.ready, backend.gone = entry.state is State.READY, entry.state is State.GONE
+            if entry.started_us > backend.started:
+                self.presume_started(backend, entry.started_us)
+            backend.zone, backend.cell, backend.state = entry.zone, entry.cell, entry.state
         self.renew_order()
 
     def set_beat(self) -> None:
-        """Each gateway beats at a place of its own, so that their calls don't crowd the counter at once."""
+        """Each gateway beats at a place of its own: their calls don't crowd the counter at once."""
         phase = self.terms.own_index * BEAT // self.terms.gateways
         self.actions.append(SetTimer(BEAT - (self.now - phase) % BEAT, 0))
 
-    def tick(self) -> None:
+    def tick(self, _: TimerFired) -> None:
         self.set_beat()
         beat = self.now % SECOND // BEAT
         if beat < self.beat:
             self.close_second()
         self.beat = beat
-        if self.terms.has_counter:
-            self.count()
+        self.count()
         if beat % 5 == 0:
-            self.move_room()
-            self.renew_order()
-            for index in [b.index for b in self.backends.values() if b.gone and not b.out]:
-                del self.backends[index]
-        if self.subscribe_at and self.now >= self.subscribe_at:
-            self.subscribe_at = 0
+            # Room that is not used would let a sudden jam in unchecked.
+            self.usual_out += (self.out - self.usual_out) * 0.1
+            self.room = min(self.room, 3 * self.usual_out + 4)
+            self.answers *= 0.9
+            self.news += 1
+            if self.news >= 4:  # answers, or a second: a quiet gateway has little to rank anew
+                self.renew_order()
+            self.backends = {i: b for i, b in self.backends.items() if b.state is not State.GONE or b.out}
+        if self.terms.must_subscribe and self.now >= self.subscribe_at:
+            self.subscribe_at = math.inf
             self.actions.append(Subscribe())
-        for rpc in list(self.overdue()):
+        for rpc in [r for r in self.open.values() if r.look_at <= self.now]:
             self.resume(rpc, STILL_OUT)
-
-    def overdue(self) -> Iterator[OpenRpc]:
-        for rpc in self.open.values():
-            if not rpc.ended and not rpc.streaming and rpc.look_at <= self.now:
-                yield rpc
