Warm is told with the order, so that no crowd meets a backend at its ramp's end

Few answers weighed 0.3 at most, so rooms cut by a jam grew by 3% a second only. Changed: warm is read when the order is renewed; an answer may weigh 0.6; places by the golden ratio of the gateway's number.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -122,6 +122,7 @@
         self.band = self.place = self.rests_until = self.measured = 0
         self.shown = 1.0  # the pace, or how long it has been quiet if that is more
         self.cold = Store(0.0, 1.0, 0.0, 0)  # call-outs that it may get while it is cold
+        self.warm = True  # told with the order only: one that turned warm since stands first in it
 
 
 class Call(NamedTuple):
@@ -170,12 +171,11 @@
         self.agenda: dict[int, list[Call]] = {}  # beat -> calls; renewed each second
         self.reads: dict[int, Call] = {}  # by name; until answered
         self.beat = self.misses = 0  # misses: counter calls in a row without an answer
-        self.swamped = 0.0  # running share of call-outs turned away or out of time
-        self.taken = 0.1  # running mean of the time taken by good answers, in soft deadlines
+        # Running means: share of call-outs turned away or out of time; good answers' time in soft deadlines.
+        self.swamped, self.taken = 0.0, 0.1
         self.answers = 0.0  # good answers a second from warm backends, decayed
         self.reading = 1.0  # the part of the reads that is made
-        self.value = 0.0  # running mean of utility for the time taken
-        self.lump = 1.0  # running mean of the RPCs' cost
+        self.value, self.lump = 0.0, 1.0  # running means: utility for the time taken; the RPCs' cost
         self.subscribe_at: float = now
         self.actions: list[Action] = []
         self.ticking, self.woke = False, 0
@@ -209,8 +209,7 @@
             yield PushBack(call.rpc, wait)
             return
         unrun, home, first_at = True, None, 0
-        claim = self.claim(call)
-        tried: set[int] = set()
+        claim, tried = self.claim(call), set[int]()
         for _ in range(self.terms.call_outs_max):
             # Rule 2: a deduplicated RPC that may have run stays in its group and within the memory.
             if not unrun and method.effect is Effect.DEDUPLICATED and self.now >= first_at + method.memory_us:
@@ -375,8 +374,7 @@
 
     def counted(self, answer: CountAnswer) -> None:
         self.misses = 0 if answer.added else self.misses + 1
-        if answer.added:
-            self.counter_heard = self.now
+        self.counter_heard = self.now if answer.added else self.counter_heard
         # A crowded counter turns calls away: fewer calls, in balance at one in six lost; slower steps (0.002,
         # 0.02) stayed thin long after a silence.
         self.reading = min(1.0, self.reading + 0.01) if answer.added else max(0.1, self.reading - 0.05)
@@ -418,8 +416,7 @@
 
     def usable(self, backend: Backend) -> bool:
         """Rule 4: a cold one only within this gateway's part of its budget."""
-        return self.now >= backend.rests_until and (
-            self.warmth(backend) >= 1.0 or backend.cold.fill(self.now) >= 1.0)
+        return self.now >= backend.rests_until and (backend.warm or backend.cold.fill(self.now) >= 1.0)
 
     def warmth(self, backend: Backend) -> float:
         """The least share of its capacity that a backend has by now: 1 when warm."""
@@ -430,10 +427,11 @@
 
     def budget_cold(self, fleet: list[Backend]) -> None:
         """Each gateway grants its part, be it a fraction of a call-out: the parts sum to the whole."""
-        warm = sum(self.warmth(b) >= 1.0 for b in fleet)
-        share, window = self.answers / max(1, warm), self.terms.push_over_us / SECOND
+        share = self.answers / max(1, sum(b.warm for b in fleet))
+        window = self.terms.push_over_us / SECOND
         for backend in fleet:
-            if (warmth := self.warmth(backend)) < 1.0:
+            backend.warm = (warmth := self.warmth(backend)) >= 1.0
+            if not backend.warm:
                 # At most half of it over time, a quarter at once, and its part of the load (twice that cost
                 # 0.02 to 0.1). Two a window from all gateways at least: a fleet all cold must get going.
                 rate = min(1.0, 0.5 * self.terms.push_over_factor) * warmth * share
@@ -441,8 +439,9 @@
                 backend.cold.reshape(rate, max(1.0, 0.5 * rate * window), self.now)
 
     def presume_started(self, backend: Backend, at: int) -> None:
-        # The cold budget's phase is each gateway's own, so that they don't all grant at once.
-        backend.started, backend.cold = at, Store(0.0, 1.0, self.chance.draw(), self.now)
+        # A phase of its own: the gateways don't all grant at once.
+        backend.started, backend.warm = at, False
+        backend.cold = Store(0.0, 1.0, self.chance.draw(), self.now)
 
     def renew_order(self) -> None:
         """By bands of pace against the fleet's median, cold ones first, own zone, a place of one's own."""
@@ -464,18 +463,19 @@
         median = sorted(b.shown for b in fleet)[len(fleet) // 2]
         failing = sorted(b.failures for b in fleet)[len(fleet) // 2]
         self.budget_cold(fleet)
-        # Places are counted within own zone and without: over all, its gateways would begin at one backend.
+        # Places are counted within own zone and without, else all its gateways may begin at one backend. The
+        # golden ratio spreads any run or stride of gateways evenly.
         for here in (True, False):
             hall = [b for b in fleet if (b.zone == self.terms.zone) is here]
-            for at, backend in enumerate(hall):
-                backend.place = (at - self.terms.own_index * len(hall) // self.terms.gateways) % len(hall)
+            for at, backend in enumerate(hall, -int(self.terms.own_index * 0.618034 % 1 * len(hall))):
+                backend.place = at % len(hall)
         for backend in fleet:
             backend.band = max(0, int(math.log(backend.shown / median) / math.log(1.5)))
             if backend.failures > failing + 0.4 and self.now >= backend.rests_until:
                 backend.rests_until = self.now + SECOND
         # A cold one goes first in its band: its budget is kept, and so all gateways' parts are used.
         self.order = sorted(
-            fleet, key=lambda b: (b.band, self.warmth(b) >= 1.0, b.zone != self.terms.zone, b.place))
+            fleet, key=lambda b: (b.band, b.warm, b.zone != self.terms.zone, b.place))
 
     # ---- events ----
 
@@ -500,7 +500,7 @@
                 backend.quiet_since = self.now
             backend.out += 1
             self.out += 1
-            backend.cold.level -= self.warmth(backend) < 1.0
+            backend.cold.level -= not backend.warm
             self.customers[rpc.call.customer].out += 1
             rpc.outs[rpc.sent] = (wish.backend, self.now)
             rpc.sent += 1
@@ -552,7 +552,7 @@
         backend.failures += (failed - backend.failures) * 0.25
         if result.outcome is Outcome.OK:
             # With a tenth lost each 250 ms: a running mean of answers a second.
-            self.answers += 0.4 * (self.warmth(backend) >= 1.0)
+            self.answers += 0.4 * backend.warm
             row.seen += 1
             row.mean += (took - row.mean) * max(0.02, 1 / (row.seen + 5))
         if result.outcome is Outcome.NO_CONNECTION:
@@ -570,7 +570,7 @@
             self.taken += (taken - self.taken) * self.weight(0.4)
         swamped = result.outcome in (Outcome.TURNED_AWAY, Outcome.TIMED_OUT)
         if result.outcome is Outcome.OK or swamped:
-            self.swamped += (swamped - self.swamped) * self.weight(0.4)
+            self.swamped += (swamped - self.swamped) * self.weight(0.4) / 2
         if result.outcome is Outcome.OK and self.near(backend):
             self.press(taken)
         elif swamped and self.swamped > 0.4 or (
@@ -593,8 +593,8 @@
         self.room = max(1.5 * len(self.order) / self.terms.gateways, self.room)
 
     def weight(self, seconds: float) -> float:
-        """What an answer weighs in a mean over so many seconds of them; few weigh more, but not by chance."""
-        return min(0.3, 1 / seconds / max(1.0, self.answers))
+        """What an answer weighs in a mean over so many seconds of them (0.3 at most let jams last a day)."""
+        return min(0.6, 1 / seconds / max(1.0, self.answers))
 
     def listed(self, news: FleetNews) -> None:
         if news.failed:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -181,6 +181,26 @@
     assert 2 <= cold <= 15
 
 
+def test_one_that_turns_warm_between_renewals_draws_no_crowd():
+    bench = Bench(fleet=6, started={5: START - 9_990_000}, plans=(plan(1e6, 1e6),))
+    bench.now += 20_000
+    assert bench.gateway.order[0].index == 5
+    got = [out.backend for i in range(14) for out in sent(bench.arrive(customer=i))]
+    assert got.count(5) <= 1 and len(got) == 14
+
+
+def test_small_rooms_grow_again_within_seconds_of_prompt_answers():
+    bench = Bench(gateways=100, plans=(plan(1e6, 1e6),))
+    bench.gateway.room = 0.3
+    for _ in range(30):  # three RPCs a second
+        bench.pass_time(330_000)
+        outs = sent(bench.arrive())
+        bench.pass_time(100_000)
+        for out in outs:
+            bench.end(bench.next_rpc, 0, out.backend)
+    assert bench.gateway.room > 1.0
+
+
 def test_what_took_no_connection_is_taken_for_cold_when_it_is_back():
     bench = Bench(fleet=2, plans=(plan(1e6, 1e6),))
     first = sent(bench.arrive())[0].backend
