--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -75,8 +75,7 @@
         self.even = 1 / min(width, terms.gateways)
         self.slice, self.lump = self.even, lump
         self.store = Store(plan.rate * self.even, self.depth(), self.depth(), now)
-        # Rule 5: an earlier life may have sent all, so the ceiling starts empty at this life's start and only
-        # time fills it.
+        # Rule 5: an earlier life may have sent all, so it starts empty with this life; time fills it.
         rate, depth = plan.ceiling_rate * self.even, plan.ceiling_burst * self.even
         self.ceiling = Store(rate, depth, min(depth, rate * (now - born) / SECOND), now)
         self.out, self.seen = 0, now
@@ -102,8 +101,8 @@
         self.store.reshape(self.plan.rate * self.slice, self.depth(), now)
 
     def parallel_full(self, taken: float) -> bool:
-        """What the others have out is told by their rate and the time that an RPC takes (Little's law): a
-        part rounded to whole call-outs would be nothing, or one for each of a hundred gateways."""
+        """What the others have out: their rate times the time that an RPC takes. A part rounded to whole
+        call-outs would be nothing, or one for each of a hundred gateways."""
         if self.plan.rate <= 0:
             return 0 < self.plan.parallel and self.out >= max(1, int(self.plan.parallel * self.slice + 1e-9))
         others = self.others / self.others_time if self.others_time else self.plan.rate * (1 - self.slice)
@@ -165,8 +164,8 @@
         self.backends: dict[int, Backend] = {}
         self.order: list[Backend] = []
         self.news, self.renewed = 0, now  # looks and answers since the order was renewed, and when it was
-        self.usual = 1.0  # the median pace of the backends measured of late
         self.out, self.usual_out, self.room = 0, 4.0, 16.0
+        self.usual = 1.0  # the median pace of the backends measured of late
         self.counter_heard = self.counter_asked = now
         self.agenda: dict[int, list[Call]] = {}  # beat -> calls; renewed each second
         self.reads: dict[int, Call] = {}  # by name; until answered
@@ -256,8 +255,8 @@
         # The pressed back end's own wait: a soft deadline, in which a full one empties.
         yield PushBack(call.rpc, self.jittered(method.soft_us)) if harmless else Abort(call.rpc)
 
-    def patience(self, method: int) -> int:  # after which a call-out counts as slow
-        return self.terms.methods[method].soft_us * 3 // 5
+    def patience(self, method: int) -> int:
+        return self.terms.methods[method].soft_us * 3 // 5  # after which a call-out counts as slow
 
     def claim(self, call: Arrival) -> float:
         """The part of the room that an RPC may fill. A later try that can no longer be ok within the soft
@@ -354,8 +353,7 @@
         """Own part of the counted demand; even while nothing is known of the others."""
         own = customer.own / max(customer.own_time, 1)
         demand = own + customer.others / max(customer.others_time, 0.01)
-        known = customer.others_time > 0 and demand > 0
-        customer.take_slice(own / demand if known else customer.even, self.now)
+        customer.take_slice(own / demand if demand > 0 < customer.others_time else customer.even, self.now)
 
     def sweep(self, customer: Customer) -> None:
         stores = (customer.store, customer.ceiling)
@@ -444,17 +442,17 @@
         backend.cold = Store(0.0, 1.0, self.chance.draw(), self.now)
 
     def renew_order(self) -> None:
-        """By bands of pace against the fleet's median, cold ones first, own zone, a place of one's own."""
+        """By bands of pace against the fleet's median, cold ones first, then a place of one's own."""
         steps, self.news, self.renewed = (self.now - self.renewed) / (5 * BEAT), 0, self.now
-        fleet = sorted((b for b in self.backends.values() if b.state is State.READY), key=lambda b: b.index)
-        self.order = []
+        ready = (b for b in self.backends.values() if b.state is State.READY)
+        fleet = sorted(ready, key=lambda b: (b.zone, b.index))
         if not fleet:
-            return
+            return self.order.clear()
         means = sum(m.mean for m in self.methods) / len(self.methods)
         rest, fade = 0.98**steps, 0.95**steps
         for backend in fleet:
-            quiet = (self.now - backend.quiet_since) / means / 2 if backend.out else 0
-            backend.shown = max(backend.pace, quiet, 0.01)
+            quiet = (self.now - backend.quiet_since) / means / 2 if backend.out else 0.01
+            backend.shown = max(backend.pace, quiet)
             backend.pace = 1 + (backend.pace - 1) * (1 if backend.out else rest)
             backend.failures *= fade
         # Never called, one tells nothing of a jam; the 1.0 is for a single measured one, which is no norm.
@@ -463,19 +461,21 @@
         median = sorted(b.shown for b in fleet)[len(fleet) // 2]
         failing = sorted(b.failures for b in fleet)[len(fleet) // 2]
         self.budget_cold(fleet)
-        # Places are counted within own zone and without, else all its gateways may begin at one backend. The
-        # golden ratio spreads any run or stride of gateways evenly.
+        # A ring of zones, of which each one's gateways take an even stretch first: mostly their own zone,
+        # and some of a large one for a small one's. The golden ratio spreads them within it.
+        zones = sorted({b.zone for b in fleet})
+        stretch = len(fleet) / len(zones)
+        start = int(zones.index(self.terms.zone) * stretch) if self.terms.zone in zones else 0
         for here in (True, False):
-            hall = [b for b in fleet if (b.zone == self.terms.zone) is here]
-            for at, backend in enumerate(hall, -int(self.terms.own_index * 0.618034 % 1 * len(hall))):
-                backend.place = at % len(hall)
+            part = [b for at, b in enumerate(fleet) if ((at - start) % len(fleet) < stretch) is here]
+            for at, backend in enumerate(part, -int(self.terms.own_index * 0.618034 % 1 * len(part))):
+                backend.place = at % len(part) + (0 if here else len(fleet))
         for backend in fleet:
             backend.band = max(0, int(math.log(backend.shown / median) / math.log(1.5)))
             if backend.failures > failing + 0.4 and self.now >= backend.rests_until:
                 backend.rests_until = self.now + SECOND
-        # A cold one goes first in its band: its budget is kept, and so all gateways' parts are used.
-        self.order = sorted(
-            fleet, key=lambda b: (b.band, b.warm, b.zone != self.terms.zone, b.place))
+        # A cold one goes first in its band: its budget is kept, and so all parts are used.
+        self.order = sorted(fleet, key=lambda b: (b.band, b.warm, b.place))
 
     # ---- events ----
 
@@ -562,7 +562,7 @@
         elif result.outcome is not Outcome.NOT_SENT:
             # A quick refusal or error is no quick answer: else a backend that refuses all would draw all.
             means = took / row.mean if result.outcome is Outcome.OK else max(3.0, took / row.mean)
-            backend.pace += (means - backend.pace) * 0.15
+            backend.pace += (means - backend.pace) * 0.3  # 0.15: the same with few gateways
             backend.measured = self.now
         # A backend far off the fleet, or one that won't have this RPC, says nothing of the fleet's room.
         taken = min(1.5, took / self.terms.methods[rpc.call.method].soft_us)
@@ -588,7 +588,7 @@
     def press(self, taken: float) -> None:
         """One more call-out's time, in soft deadlines. Held near 0.35: the fleet full, few answers late."""
         if taken > 0.35 or self.out + 1 >= 0.5 * self.room:
-            self.room *= 1 + self.weight(1.0) * (0.35 - taken)
+            self.room *= math.exp(self.weight(1.0) * (0.35 - taken))
         # One and a half a backend, shared by the gateways, never jam a fleet: no less than that.
         self.room = max(1.5 * len(self.order) / self.terms.gateways, self.room)
 
