Customers idle for a minute are forgotten, so that those seen once don't pile up

Cause: a thin slice refills for minutes, and its customer stayed until the store was full. Holds also against floods of one-off customers; harms where one comes back after a minute at the same gateway: it finds a full store again (one RPC). The ceiling store is kept.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -10,7 +10,7 @@
 3. claims         how much of the room an RPC may fill: less when it comes too late, or is worth little
 4. quiet backend  one that answers nothing sinks in the order; repeatable RPCs are called off and sent on
 5. health         a backend whose share of failures is far above the fleet's median rests
-6. guards         cold budget per window for a fresh backend; a ceiling store that only time fills
+6. guards         a fresh backend's cold budget, in fractions; a ceiling store that only time fills
 """
 
 import math
@@ -67,7 +67,7 @@
 
 
 class Customer:
-    """A customer at this gateway. Dropped by sweep() once its store is full and it has been idle."""
+    """A customer at this gateway. Dropped by sweep() once idle and its store full, or idle for a minute."""
 
     def __init__(self, call: Arrival, plan: Plan, terms: Terms, lump: float, now: int, born: int) -> None:
         self.index, self.account, self.plan = call.customer, call.account, plan
@@ -356,9 +356,10 @@
         customer.take_slice(own / demand if demand > 0 < customer.others_time else customer.even, self.now)
 
     def sweep(self, customer: Customer) -> None:
-        stores = (customer.store, customer.ceiling)
-        if self.now - customer.seen > 10 * SECOND and not customer.out and all(
-                store.fill(self.now) >= store.depth for store in stores):
+        idle, store, ceiling = self.now - customer.seen, customer.store, customer.ceiling
+        # A thin slice earns an RPC back in a minute or so: customers seen once must not stay for longer.
+        full = idle > 60 * SECOND or store.fill(self.now) >= store.depth
+        if idle > 10 * SECOND and not customer.out and full and ceiling.fill(self.now) >= ceiling.depth:
             del self.customers[customer.index]
             self.actions.append(Forget(customer.index))
 
@@ -373,8 +374,7 @@
     def counted(self, answer: CountAnswer) -> None:
         self.misses = 0 if answer.added else self.misses + 1
         self.counter_heard = self.now if answer.added else self.counter_heard
-        # A crowded counter turns calls away: fewer calls, in balance at one in six lost; slower steps (0.002,
-        # 0.02) stayed thin long after a silence.
+        # A crowded counter: fewer calls, in balance at one in six lost; slower steps (0.002, 0.02) lagged.
         self.reading = min(1.0, self.reading + 0.01) if answer.added else max(0.1, self.reading - 0.05)
         call = self.reads.pop(answer.name, None)  # none: the answer to an addition
         customer = self.customers.get(call.customer) if call else None
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -96,6 +96,17 @@
     assert len(of(Forget, bench.pass_time(20_000_000))) == 50 and not bench.gateway.customers
 
 
+def test_thin_customers_seen_once_leave_nothing_behind_for_long():
+    bench = Bench(gateways=100, plans=(plan(0.1, 12.0, ceiling_rate=2.0, ceiling_burst=24.0),))
+    bench.pass_time(30_000_000)
+    for customer in range(20):
+        for out in sent(bench.arrive(customer=customer, units=0.2, width=100.0)):
+            bench.end(bench.next_rpc, 0, out.backend)
+    assert len(bench.gateway.customers) == 20
+    bench.pass_time(75_000_000)
+    assert not bench.gateway.customers
+
+
 def test_ceiling_starts_empty_so_a_restart_hands_out_nothing():
     bench = Bench(plans=(plan(100.0, 100.0, ceiling_rate=3.0, ceiling_burst=30.0),))
     assert of(PushBack, bench.arrive())
