--- /dev/null
+++ b/stoneyoke/__main__.py
@@ -0,0 +1,131 @@
+"""python -m stoneyoke: one gateway on sockets, as NODE_CONFIG describes it, until SIGTERM."""
+
+import asyncio
+import gc
+import json
+import os
+import signal
+import sys
+from typing import Any
+
+from loguru import logger
+
+from stoneyoke.net.backends import Backends
+from stoneyoke.net.clients import Clients, Names
+from stoneyoke.net.counter import Counter
+from stoneyoke.net.discovery import Discovery, Fleet, News
+from stoneyoke.net.http import Malformed
+from stoneyoke.runtime import Clock, Runtime
+from stoneyoke.startup import BadStart, field, read_terms
+from stoneyoke.tally import Tally
+
+SWEEP_S = 1.0
+OWN_DESCRIPTORS = 40  # standard streams, the loop's own, the listener, the counter's and discovery's
+
+
+def address(table: Any, key: str) -> tuple[str, int]:
+    text = field(table, key, str)
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise BadStart(f"{key!r} is no address: {text!r}")
+    return host, int(port)
+
+
+def read_config() -> dict[str, Any]:
+    path = os.environ.get("NODE_CONFIG")
+    if not path:
+        raise BadStart("NODE_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            config = json.load(file)
+    except (OSError, ValueError) as bad:
+        raise BadStart(f"NODE_CONFIG: {path!r} can't be read: {bad}") from bad
+    if not isinstance(config, dict):
+        raise BadStart("NODE_CONFIG: not an object")
+    return config
+
+
+class Program:
+    """The parts of a gateway, put together from its configuration."""
+
+    def __init__(self, config: dict[str, Any]) -> None:
+        settings = field(config, "settings", dict)
+        try:
+            seed = int(field(config, "seed", str), 16)
+        except ValueError as bad:
+            raise BadStart(f"'seed' is no hex number: {config['seed']!r}") from bad
+        terms = read_terms(seed, settings)
+        caps, rules, extra = settings["caps"], settings["rules"], settings["extra"]
+        sockets = field(field(config, "limits", dict), "sockets", int, 2 * OWN_DESCRIPTORS) - OWN_DESCRIPTORS
+        names = Names([field(row, "name", str) for row in settings["classes"]],
+                      [field(row, "name", str) for row in settings["tariffs"]])
+        self.listen = address(config, "listen")
+        discovery = address(config, "discovery")
+        self.clock, self.tally = Clock(), Tally()
+        self.runtime = Runtime(terms, self.clock, self.tally)
+        self.backends = Backends(
+            self.clock, self.tally, field(caps, "dial-timeout-us", int, 1),
+            field(caps, "conn-idle-us", int, 1), sockets // 2)
+        self.clients = Clients(
+            self.clock, self.tally, self.runtime, self.backends, names, field(rules, "answer-slack-us", int),
+            sockets // 2)
+        if terms.has_counter:
+            counter = Counter(self.clock, self.tally, self.runtime, address(config, "counter"),
+                              field(extra, "count-limit-us", int, 1))
+            self.runtime.add_count = counter.add
+        self.fleet = Fleet(field(settings, "zones", list), self.backends.place, self.backends.forget)
+        self.discovery = Discovery(self.tally, discovery, self.told)
+        try:
+            self.known = News(field(config, "known", dict))
+        except Malformed as bad:
+            raise BadStart(f"'known': {bad}") from bad
+
+    def told(self, news: News) -> None:
+        self.runtime.listed(self.fleet.news(news))
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        ended = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, ended.set)
+        loop.add_signal_handler(signal.SIGINT, ended.set)
+        loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counts: {}", self.tally.line()))
+        self.told(self.known)
+        watching = loop.create_task(self.discovery.run())
+        server = await loop.create_server(self.clients.line, *self.listen, backlog=1024)
+        sweeping = loop.create_task(self.sweep())
+        gc.collect()
+        gc.freeze()
+        logger.info("gateway {} of {} listens on {}:{}", self.runtime.terms.own_index,
+                    self.runtime.terms.gateways, *self.listen)
+        await ended.wait()
+        logger.info("ending: answers what is held")
+        await self.clients.finish()
+        server.close()
+        for task in (watching, sweeping):
+            task.cancel()
+        logger.info("counts: {}", self.tally.line())
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.backends.sweep()
+            self.clients.sweep()
+
+
+def main() -> int:
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
+    try:
+        program = Program(read_config())
+    except BadStart as bad:
+        print(f"stoneyoke: {bad}", file=sys.stderr)
+        return 2
+    try:
+        asyncio.run(program.run())
+    except OSError as bad:
+        print(f"stoneyoke: {bad}", file=sys.stderr)
+        return 1
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/stoneyoke/net/backends.py
@@ -0,0 +1,168 @@
+"""Connections to backends, and call-outs over them: each outcome told apart, nothing ever sent again."""
+
+import asyncio
+from collections import deque
+
+from loguru import logger
+
+from stoneyoke.interface import Outcome
+from stoneyoke.net.http import Line, Malformed, Message, read_message, write_message
+from stoneyoke.runtime import Clock, Held
+from stoneyoke.tally import Tally
+
+# A backend closes an idle connection when the settings' time is up; one idle for this part of it isn't used.
+IDLE_PART = 0.75
+
+
+class Link:
+    """One connection to a backend."""
+
+    def __init__(self, line: Line, writer: asyncio.StreamWriter) -> None:
+        self.line, self.writer = line, writer
+        self.used_at = 0
+
+    def close(self) -> None:
+        self.line.on_bytes = self.line.on_close = None
+        self.writer.transport.abort()
+
+
+class Site:
+    """Where a backend is reached, and the connections to it that are idle, the last used at the right."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
+        self.idle: deque[Link] = deque()
+
+
+class Backends:
+    def __init__(self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, most: int) -> None:
+        self.clock, self.tally, self.most = clock, tally, most
+        self.dial_s, self.idle_us = dial_us / 1_000_000, int(idle_us * IDLE_PART)
+        self.sites: dict[int, Site] = {}  # by backend; emptied by forget()
+        self.open = 0  # connections, idle or not
+
+    def place(self, backend: int, address: tuple[str, int]) -> None:
+        """Where a backend is from now on; connections to where it was are not used again."""
+        site = self.sites.get(backend)
+        if site is None or site.address != address:
+            self.forget(backend)
+            self.sites[backend] = Site(address)
+
+    def forget(self, backend: int) -> None:
+        if site := self.sites.pop(backend, None):
+            while site.idle:
+                self.drop(site.idle.pop())
+
+    def sweep(self) -> None:
+        """Closes what has been idle for too long; called now and then."""
+        for site in self.sites.values():
+            while site.idle and self.clock.now() - site.idle[0].used_at >= self.idle_us:
+                self.drop(site.idle.popleft())
+
+    def drop(self, link: Link) -> None:
+        self.open -= 1
+        link.close()
+
+    async def call_out(self, held: Held, n: int, backend: int, head: list[bytes], body: bytes,
+                       until: int) -> tuple[Outcome, Message | None]:
+        """One call-out, ended by an answer, a fault, the module's call-off or the given time."""
+        site = self.sites.get(backend)
+        if site is None:
+            return Outcome.NOT_SENT, None
+        called_off = False
+        scope = asyncio.timeout_at(self.clock.loop_time(until))
+
+        def stop(number: int) -> None:
+            nonlocal called_off
+            if number == n and not called_off:
+                called_off = True
+                scope.reschedule(0.0)
+
+        link, whole, answer = None, False, None
+        held.stop = stop
+        try:
+            async with scope:
+                if (link := self.take_idle(site)) is None:
+                    if self.open >= self.most and not self.make_room():
+                        self.tally.add("call-outs: no descriptor left")
+                        return Outcome.NOT_SENT, None
+                    link = await self.connect(site)
+                write_message(link.writer, head, body)
+                if link.writer.transport.get_write_buffer_size():
+                    await link.writer.drain()
+                if link.writer.transport.is_closing():
+                    return Outcome.NO_CONNECTION, None
+                whole = True
+                answer = await read_message(link.line.reader, b"", client=True)
+        except TimeoutError:
+            if scope.expired():
+                if not whole:
+                    return Outcome.NOT_SENT, None
+                return (Outcome.CALLED_OFF if called_off else Outcome.TIMED_OUT), None
+            return (Outcome.BROKEN if whole else Outcome.NO_CONNECTION), None
+        except OSError:
+            return (Outcome.BROKEN if whole else Outcome.NO_CONNECTION), None
+        except Malformed as bad:
+            self.tally.add("answers of backends: malformed")
+            logger.warning("backend at {}: malformed answer: {}", site.address, bad)
+            return Outcome.BROKEN, None
+        finally:
+            held.stop = None
+            if link and answer and answer.keeps and not answer.rest and self.sites.get(backend) is site:
+                self.put_back(site, link)
+            elif link:
+                self.drop(link)
+        return outcome(answer), answer
+
+    async def connect(self, site: Site) -> Link:
+        self.open += 1
+        try:
+            async with asyncio.timeout(self.dial_s):
+                loop = asyncio.get_running_loop()
+                transport, line = await loop.create_connection(Line, *site.address)
+        except BaseException:
+            self.open -= 1
+            raise
+        transport.set_write_buffer_limits(high=0)  # so that drain() waits for the last byte to leave
+        self.tally.add("connections to backends")
+        return Link(line, asyncio.StreamWriter(transport, line, line.reader, loop))
+
+    def take_idle(self, site: Site) -> Link | None:
+        while site.idle:
+            link = site.idle.pop()
+            link.line.on_bytes = link.line.on_close = None
+            if self.clock.now() - link.used_at < self.idle_us and not link.writer.is_closing():
+                return link
+            self.drop(link)
+        return None
+
+    def put_back(self, site: Site, link: Link) -> None:
+        """Idle: any byte or close that comes now ends it, so that nothing late meets the next RPC."""
+        def end() -> None:
+            if link in site.idle:
+                site.idle.remove(link)
+                self.drop(link)
+
+        link.used_at = self.clock.now()
+        if link.line.reader.at_eof() or link.writer.is_closing():
+            return self.drop(link)
+        link.line.on_bytes = link.line.on_close = end
+        site.idle.append(link)
+
+    def make_room(self) -> bool:
+        """Closes the connection that has been idle longest, of all backends."""
+        sites = [s for s in self.sites.values() if s.idle]
+        if sites:
+            self.drop(min(sites, key=lambda s: s.idle[0].used_at).idle.popleft())
+        return bool(sites)
+
+
+def outcome(answer: Message | None) -> Outcome:
+    """The protocol page's table, where an answer, or the end of the stream in its place, has come."""
+    if answer is None:
+        return Outcome.BROKEN
+    if answer.status == 200:
+        return Outcome.OK
+    if answer.status in (503, 504) and answer.headers.get(b"srv-declined") == b"1":
+        return Outcome.TURNED_AWAY
+    return Outcome.ERROR
--- /dev/null
+++ b/stoneyoke/net/counter.py
@@ -0,0 +1,134 @@
+"""Calls to the counter: pipelined, answered in order, given up after the settings' limit."""
+
+import asyncio
+from collections import deque
+
+from loguru import logger
+
+from stoneyoke.interface import AddCount
+from stoneyoke.net.http import Line, Malformed, read_message
+from stoneyoke.runtime import Clock, Runtime
+from stoneyoke.tally import Tally
+
+MOST_LINKS = 4  # of the 32 that the protocol page has the counter hold; those gone silent are replaced
+IDLE_US = 5_000_000  # the protocol page: closed after 10 s or less; none is written to beyond this
+SILENT_US = 1_000_000  # a connection whose oldest call has waited for this long is closed
+
+
+class Call:
+    """A call not yet answered, or given up on and still to be answered in its turn."""
+
+    __slots__ = ("at", "done", "name")
+
+    def __init__(self, name: int, at: int) -> None:
+        self.name, self.at, self.done = name, at, False
+
+
+class Link:
+    """A connection to the counter with its calls in order; the task that reads it ends with it."""
+
+    def __init__(self) -> None:
+        self.calls: deque[Call] = deque()
+        self.writer: asyncio.StreamWriter | None = None
+        self.unsent: list[bytes] = []  # while it connects; as many calls as its limit lets come
+        self.used_at = 0
+        self.closed = False
+
+
+class Counter:
+    def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, address: tuple[str, int],
+                 limit_us: int) -> None:
+        self.clock, self.tally, self.runtime = clock, tally, runtime
+        self.address, self.limit_us = address, limit_us
+        self.host = b"Host: %s:%d\r\n\r\n" % (address[0].encode(), address[1])
+        self.links: list[Link] = []
+        self.tasks: set[asyncio.Task[None]] = set()  # one a connection
+
+    def add(self, action: AddCount) -> None:
+        now = self.clock.now()
+        call = Call(action.name, now)
+        link = self.pick(now)
+        head = b"POST /counters/%016x?by=%s&expire_ms=%d HTTP/1.1\r\n" % (
+            action.name, f"{action.amount:.7g}".encode(), max(1, action.life_us // 1000))
+        link.calls.append(call)
+        link.used_at = now
+        if link.writer:
+            link.writer.writelines((head, b"Content-Length: 0\r\n", self.host))
+        else:
+            link.unsent += (head, b"Content-Length: 0\r\n", self.host)
+        self.tally.add("counter calls")
+        asyncio.get_running_loop().call_later(self.limit_us / 1_000_000, self.give_up, call)
+
+    def pick(self, now: int) -> Link:
+        """A connection none of whose calls is overdue; else a new one, in place of the one silent longest."""
+        for link in list(self.links):
+            if not link.calls and now - link.used_at > IDLE_US or (
+                    link.calls and now - link.calls[0].at > SILENT_US):
+                self.end(link)
+        for link in self.links:
+            if not link.calls or now - link.calls[0].at <= self.limit_us:
+                return link
+        if len(self.links) >= MOST_LINKS:
+            self.end(min(self.links, key=lambda one: one.calls[0].at))
+        link = Link()
+        self.links.append(link)
+        task = asyncio.get_running_loop().create_task(self.serve(link))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return link
+
+    def give_up(self, call: Call) -> None:
+        if not call.done:
+            call.done = True
+            self.tally.add("counter calls: no answer in time")
+            self.runtime.counted(call.name, None)
+
+    def end(self, link: Link) -> None:
+        """Calls still out on it are given up on as their own time comes."""
+        if not link.closed:
+            link.closed = True
+            self.links.remove(link)
+            if link.writer:
+                link.writer.transport.abort()
+
+    async def serve(self, link: Link) -> None:
+        try:
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(self.limit_us / 1_000_000):
+                transport, line = await loop.create_connection(Line, *self.address)
+            writer = asyncio.StreamWriter(transport, line, line.reader, loop)
+            if link.closed:
+                return transport.abort()
+            link.writer = writer
+            writer.writelines(link.unsent)
+            link.unsent = []
+            rest = b""
+            while answer := await read_message(line.reader, rest, client=True):
+                rest = answer.rest
+                if not link.calls:
+                    raise Malformed("an answer to no call")
+                call, total = link.calls.popleft(), None
+                if answer.status == 200:
+                    try:
+                        total = float(answer.body)
+                    except ValueError:
+                        raise Malformed(f"a total that is no number: {answer.body[:40]!r}") from None
+                if not call.done:
+                    call.done = True
+                    ending = "turned away" if total is None else "answered"
+                    self.tally.add(f"counter calls: {ending}")
+                    self.runtime.counted(call.name, total)
+                if not answer.keeps:
+                    break
+        except OSError:
+            self.tally.add("counter: connections lost")
+        except Malformed as bad:
+            self.tally.add("counter: malformed answers")
+            logger.warning("counter: {}", bad)
+        finally:
+            self.end(link)
+            for call in link.calls:
+                if not call.done:
+                    call.done = True
+                    self.tally.add("counter calls: connection lost")
+                    self.runtime.counted(call.name, None)
--- /dev/null
+++ b/stoneyoke/net/discovery.py
@@ -0,0 +1,116 @@
+"""Watches discovery and tells of each change at once. Silence, or nonsense, leaves the list as it was."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from stoneyoke.door import Door
+from stoneyoke.interface import FleetNews, Listed, State
+from stoneyoke.net.http import Line, Malformed, read_message, write_message
+from stoneyoke.tally import Tally
+
+HOLD_MS = 4_000  # a watch's wait: with the 2 s after it, the 6 s in which all counts as told (protocol page)
+ANSWER_S = 1.0  # how much later than that an answer may come before the connection is given up
+AGAIN_S = 0.1  # pause after a failure: inside the 200 ms within which the protocol page lets a watch go on
+STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+
+
+class Entry:
+    """One line of the list, as discovery has it."""
+
+    def __init__(self, row: Any) -> None:
+        try:
+            self.name, self.state = str(row["name"]), STATES[row["status"]]
+            host, port = str(row.get("address") or ":0").rsplit(":", 1)
+            self.address = (host, int(port)) if host else None
+            self.zone, self.cell = str(row.get("zone", "")), max(0, int(row.get("group", 0)))
+            self.started_us = max(0, int(row.get("since_ms", 0))) * 1000
+        except (KeyError, TypeError, ValueError, AttributeError) as bad:
+            raise Malformed(f"an entry that can't be used: {row!r}") from bad
+        if self.state is not State.GONE and not self.address:
+            raise Malformed(f"an entry without an address: {row!r}")
+
+
+class News:
+    """What one answer of discovery tells."""
+
+    def __init__(self, top: Any) -> None:
+        try:
+            self.index, self.whole = int(top["index"]), bool(top["snapshot"])
+            self.entries = [Entry(row) for row in top["endpoints"]]
+        except (KeyError, TypeError, ValueError) as bad:
+            raise Malformed(f"not a list of backends: {str(top)[:80]}") from bad
+
+
+class Discovery:
+    def __init__(self, tally: Tally, address: tuple[str, int], told: Callable[[News], None]) -> None:
+        self.tally, self.address, self.told = tally, address, told
+        self.host = b"Host: %s:%d\r\n" % (address[0].encode(), address[1])
+
+    async def run(self) -> None:
+        """Watches for ever: a failed connection is made anew and begins with the whole list."""
+        while True:
+            try:
+                await self.watch()
+            except (OSError, Malformed) as bad:
+                self.tally.add("discovery: failures")
+                if isinstance(bad, Malformed):
+                    logger.warning("discovery: {}", bad)
+            await asyncio.sleep(AGAIN_S)
+
+    async def watch(self) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(ANSWER_S):
+            transport, line = await loop.create_connection(Line, *self.address)
+        writer = asyncio.StreamWriter(transport, line, line.reader, loop)
+        try:
+            target, limit = b"/v1/servers", ANSWER_S
+            while True:
+                write_message(writer, [b"GET %s HTTP/1.1\r\n" % target, self.host], b"")
+                async with asyncio.timeout(limit):
+                    answer = await read_message(line.reader, b"", client=True)
+                if answer is None:
+                    return
+                if answer.status != 200:
+                    raise Malformed(f"answered with {answer.status}")
+                try:
+                    news = News(json.loads(answer.body))
+                except ValueError as bad:
+                    raise Malformed("an answer that is no JSON") from bad
+                self.tally.add("discovery: answers")
+                self.told(news)
+                if not answer.keeps:
+                    return
+                target = b"/v1/servers?from=%d&hold_ms=%d" % (news.index, HOLD_MS)
+                limit = HOLD_MS / 1000 + ANSWER_S
+        finally:
+            transport.abort()
+
+
+class Fleet:
+    """Turns discovery's names into the module's indices and keeps the addresses in step."""
+
+    def __init__(self, zones: list[str], place: Callable[[int, tuple[str, int]], None],
+                 forget: Callable[[int], None]) -> None:
+        self.zones, self.place, self.forget = zones, place, forget
+        self.door = Door[str]()  # as large as the number of names that discovery has ever told
+
+    def news(self, news: News) -> FleetNews:
+        if news.whole:
+            kept = {entry.name for entry in news.entries}
+            for name, backend in self.door.index.items():
+                if name not in kept:
+                    self.forget(backend)
+        listed = []
+        for entry in news.entries:
+            backend = self.door.enter(entry.name)
+            if entry.address and entry.state is not State.GONE:
+                self.place(backend, entry.address)
+            elif entry.state is State.GONE:
+                self.forget(backend)
+            zone = self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones)
+            listed.append(Listed(backend, zone, entry.cell, entry.started_us, entry.state))
+        return FleetNews(news.whole, False, listed)
--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -1,111 +1,30 @@
 """Hosts gateway instances on the simulator's wire: translates words, ids and frames. Decides nothing."""
 
 import json
-import math
 from typing import Any, BinaryIO
 
 from stoneyoke.control import Gateway
+from stoneyoke.door import Door
 from stoneyoke.interface import (
-    Abort, Action, AddCount, Arrival, CallOff, CallOut, CallOutEnded, ClientGone, CountAnswer, Effect, Event,
-    FleetNews, Forget, Group, Listed, Method, Outcome, Plan, PushBack, SetTimer, State,
-    StreamBegun, Subscribe, Terms, TimerFired,
+    Abort, Action, AddCount, Arrival, CallOff, CallOut, CallOutEnded, ClientGone, CountAnswer, Event,
+    FleetNews, Forget, Listed, Outcome, PushBack, SetTimer, State, StreamBegun, Subscribe, Terms, TimerFired,
 )
 from stoneyoke.simhost import wire
+from stoneyoke.startup import BadStart, read_terms
 
 OUTCOMES = {
     200: Outcome.OK, 500: Outcome.ERROR, 503: Outcome.TURNED_AWAY, 504: Outcome.TIMED_OUT,
     502: Outcome.NO_CONNECTION, 598: Outcome.BROKEN, 499: Outcome.CALLED_OFF, 410: Outcome.NOT_SENT,
 }
-EFFECTS = {
-    "idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
-    "at_most_once": Effect.NON_IDEMPOTENT,
-}
 MOST_US = 2**32 - 1
 
 
-class BadStart(Exception):
-    """A start message that lacks something needed; the text names it."""
-
-
-def field(table: Any, key: str, kind: type, low: float = 0.0) -> Any:
-    """A needed value, or BadStart naming it."""
-    value = table.get(key) if isinstance(table, dict) else None
-    if kind in (int, float):
-        if isinstance(value, int | float) and not isinstance(value, bool):
-            if math.isfinite(value) and value >= low:
-                return kind(value)
-    elif isinstance(value, kind):
-        return value
-    raise BadStart(f"start message: {key!r} is missing or unusable: {value!r}")
-
-
-def read_terms(seed: int, text: bytes) -> Terms:
-    try:
-        top = json.loads(text)
-    except ValueError as bad:
-        raise BadStart(f"start message is not JSON: {bad}") from bad
-    caps, rules, extra = (field(top, key, dict) for key in ("caps", "rules", "extra"))
-    methods = []
-    for row in field(top, "classes", list):
-        effect = field(row, "effect", str)
-        if effect not in EFFECTS:
-            raise BadStart(f"start message: 'effect' is unusable: {effect!r}")
-        group = row.get("group", "cell")
-        if effect == "deduplicated" and group not in {g.value for g in Group}:
-            raise BadStart(f"start message: 'group' is unusable: {group!r}")
-        methods.append(Method(
-            EFFECTS[effect],
-            Group(group) if effect == "deduplicated" else Group.CELL,
-            field(row, "aim-us", int, 1), field(row, "deadline-us", int, 1),
-            field(row, "memory-span-us", int) if effect == "deduplicated" else 0,
-            field(row, "gain", float),
-        ))
-    plans = [Plan(
-        field(row, "units-per-s", float), field(row, "depth", float),
-        field(row, "worth-factor", float), field(row, "parallel", int),
-        field(row, "cap-rate", float), field(row, "cap-depth", float),
-    ) for row in field(top, "tariffs", list)]
-    return Terms(
-        seed, field(top, "balancers", int, 1), field(top, "self-index", int), field(top, "zone", int),
-        tuple(methods), tuple(plans), field(caps, "try-limit", int, 1), bool(caps.get("cancel", False)),
-        bool(extra.get("has-counter", False)),
-        bool(extra.get("settles", False)), top.get("discovery") == "subscribe",
-        field(extra, "units-top", float), field(rules, "cold-from", float), field(rules, "ramp-time-us", int),
-        field(rules, "overload-factor", float), field(rules, "overload-for-us", int),
-    )
-
-
-class Door:
-    """Gives each foreign id a small index, and takes indices back for the next."""
-
-    def __init__(self) -> None:
-        self.index: dict[int, int] = {}
-        self.names: list[int] = []
-        self.free: list[int] = []
-
-    def enter(self, name: int) -> int:
-        at = self.index.get(name)
-        if at is None:
-            if self.free:
-                at = self.free.pop()
-                self.names[at] = name
-            else:
-                at = len(self.names)
-                self.names.append(name)
-            self.index[name] = at
-        return at
-
-    def leave(self, at: int) -> None:
-        if self.index.pop(self.names[at], None) is not None:
-            self.free.append(at)
-
-
 class Instance:
     """One gateway on the wire. RPC and customer indices are taken back when the gateway lets go of them."""
 
     def __init__(self, who: int, terms: Terms, now: int) -> None:
         self.who = who
-        self.rpcs, self.backends, self.customers = Door(), Door(), Door()
+        self.rpcs, self.backends, self.customers = Door[int](), Door[int](), Door[int]()
         self.gateway = Gateway(terms, now)
 
     def tell(self, event: Event, now: int, reply: wire.Reply) -> None:
@@ -169,7 +88,11 @@
     def take(self, code: int, fields: tuple[Any, ...], batch: wire.Batch, reply: wire.Reply) -> None:
         who, now = fields[0], batch.clock
         if code == wire.SPAWN:
-            terms = read_terms(fields[1], batch.piece(*fields[2:]))
+            try:
+                settings = json.loads(batch.piece(*fields[2:]))
+            except ValueError as bad:
+                raise BadStart(f"start message is not JSON: {bad}") from bad
+            terms = read_terms(fields[1], settings)
             self.instances[who] = Instance(who, terms, now)
             return
         if code == wire.KILLED:
