--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -21,6 +21,7 @@
 
 SWEEP_S = 1.0
 OWN_DESCRIPTORS = 40  # standard streams, the loop's own, the listener, the counter's and discovery's
+LEAST_DESCRIPTORS = 80  # with fewer there is no use in starting
 
 
 def address(table: Any, key: str) -> tuple[str, int]:
@@ -56,19 +57,22 @@
             raise BadStart(f"'seed' is no hex number: {config['seed']!r}") from bad
         terms = read_terms(seed, settings)
         caps, rules, extra = settings["caps"], settings["rules"], settings["extra"]
-        sockets = field(field(config, "limits", dict), "sockets", int, 2 * OWN_DESCRIPTORS) - OWN_DESCRIPTORS
+        sockets = field(field(config, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
+        # The event loop accepts a backlog at a time before any of it is looked at; the rest is shared in two.
+        self.backlog = sockets // 8
+        share = (sockets - OWN_DESCRIPTORS - self.backlog) // 2
         names = Names([field(row, "name", str) for row in settings["classes"]],
-                      [field(row, "name", str) for row in settings["tariffs"]])
+                      [field(row, "name", str) for row in settings["tariffs"]], terms)
         self.listen = address(config, "listen")
         discovery = address(config, "discovery")
         self.clock, self.tally = Clock(), Tally()
         self.runtime = Runtime(terms, self.clock, self.tally)
         self.backends = Backends(
             self.clock, self.tally, field(caps, "dial-timeout-us", int, 1),
-            field(caps, "conn-idle-us", int, 1), sockets // 2)
+            field(caps, "conn-idle-us", int, 1), share)
         self.clients = Clients(
             self.clock, self.tally, self.runtime, self.backends, names, field(rules, "answer-slack-us", int),
-            sockets // 2)
+            share)
         if terms.has_counter:
             counter = Counter(self.clock, self.tally, self.runtime, address(config, "counter"),
                               field(extra, "count-limit-us", int, 1))
@@ -89,9 +93,10 @@
         loop.add_signal_handler(signal.SIGTERM, ended.set)
         loop.add_signal_handler(signal.SIGINT, ended.set)
         loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counts: {}", self.tally.line()))
+        loop.set_exception_handler(self.loop_failed)
         self.told(self.known)
         watching = loop.create_task(self.discovery.run())
-        server = await loop.create_server(self.clients.line, *self.listen, backlog=1024)
+        server = await loop.create_server(self.clients.line, *self.listen, backlog=self.backlog)
         sweeping = loop.create_task(self.sweep())
         gc.collect()
         gc.freeze()
@@ -105,6 +110,11 @@
             task.cancel()
         logger.info("counts: {}", self.tally.line())
 
+    def loop_failed(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What nothing else caught: logged and counted, and the gateway goes on."""
+        logger.opt(exception=context.get("exception")).error("event loop: {}", context.get("message"))
+        self.tally.must(False, "event loop")
+
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_S)
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -3,10 +3,8 @@
 import asyncio
 from collections import deque
 
-from loguru import logger
-
 from stoneyoke.interface import Outcome
-from stoneyoke.net.http import Line, Malformed, Message, read_message, write_message
+from stoneyoke.net.http import Line, Malformed, Message, Messages, connect, write_message
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
 
@@ -19,6 +17,7 @@
 
     def __init__(self, line: Line, writer: asyncio.StreamWriter) -> None:
         self.line, self.writer = line, writer
+        self.answers = Messages(line.reader, answers=True)
         self.used_at = 0
 
     def close(self) -> None:
@@ -93,7 +92,7 @@
                 if link.writer.transport.is_closing():
                     return Outcome.NO_CONNECTION, None
                 whole = True
-                answer = await read_message(link.line.reader, b"", client=True)
+                answer = await link.answers.next()
         except TimeoutError:
             if scope.expired():
                 if not whole:
@@ -103,12 +102,12 @@
         except OSError:
             return (Outcome.BROKEN if whole else Outcome.NO_CONNECTION), None
         except Malformed as bad:
-            self.tally.add("answers of backends: malformed")
-            logger.warning("backend at {}: malformed answer: {}", site.address, bad)
+            self.tally.report("answers of backends: malformed", f"{site.address}: {bad}")
             return Outcome.BROKEN, None
         finally:
             held.stop = None
-            if link and answer and answer.keeps and not answer.rest and self.sites.get(backend) is site:
+            if link and answer and answer.keeps and not link.answers.pending() and (
+                    self.sites.get(backend) is site):
                 self.put_back(site, link)
             elif link:
                 self.drop(link)
@@ -117,15 +116,12 @@
     async def connect(self, site: Site) -> Link:
         self.open += 1
         try:
-            async with asyncio.timeout(self.dial_s):
-                loop = asyncio.get_running_loop()
-                transport, line = await loop.create_connection(Line, *site.address)
+            line, writer = await connect(site.address, self.dial_s)
         except BaseException:
             self.open -= 1
             raise
-        transport.set_write_buffer_limits(high=0)  # so that drain() waits for the last byte to leave
         self.tally.add("connections to backends")
-        return Link(line, asyncio.StreamWriter(transport, line, line.reader, loop))
+        return Link(line, writer)
 
     def take_idle(self, site: Site) -> Link | None:
         while site.idle:
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -4,54 +4,64 @@
 
 from loguru import logger
 
-from stoneyoke.interface import Abort, CallOut, Outcome, PushBack
+from stoneyoke.interface import Abort, CallOut, Effect, Outcome, PushBack, Terms
 from stoneyoke.net.backends import Backends
-from stoneyoke.net.http import Line, Malformed, Message, read_message, status_line, write_message
+from stoneyoke.net.http import Line, Malformed, Message, Messages, status_line, write_message
 from stoneyoke.runtime import Clock, Held, Runtime
 from stoneyoke.tally import Tally
 
-KEPT_HEADERS = ((b"req-id", b"Req-Id: "), (b"idempotency-key", b"Idempotency-Key: "))
-LONGEST_S = 3600.0  # a deadline beyond this, or units beyond 1e9, are absurd
-MOST_UNITS = 1e9
-PART_S = 10.0  # a head or body that has begun must be whole, an answer be taken, within this
-LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients still come as if nothing were
+LONGEST_S = 3600.0  # a deadline beyond this, or units or a spread beyond the next, are absurd
+MOST = 1e9
+PART_US = 10_000_000  # a head or body that has begun must be whole, and an answer be taken, within this
+LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
+LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
+LAST_CLIENTS_S = 0.7  # the protocol page: what comes up to here after SIGTERM is still owed an answer
+
+
+class Names:
+    """The names of methods and plans, as they stand in heads."""
+
+    def __init__(self, methods: list[str], plans: list[str], terms: Terms) -> None:
+        self.methods = {name.encode(): at for at, name in enumerate(methods)}
+        self.plans = {name.encode(): at for at, name in enumerate(plans)}
+        self.with_key = {at for at, m in enumerate(terms.methods) if m.effect is Effect.DEDUPLICATED}
 
 
 class Asked:
     """What an RPC's head says, read and checked."""
 
-    __slots__ = ("account", "method", "plan", "units", "until", "width")
+    __slots__ = ("account", "method", "plan", "units", "wait_us", "width")
 
-    def __init__(self, message: Message, came: int, names: "Names") -> None:
+    def __init__(self, message: Message, names: Names) -> None:
         headers = message.headers
-        path = message.target.split(b"?", 1)[0].split(b"/", 2)
-        kind = needed(headers, b"req-kind")
-        method = names.methods.get(kind)
+        kind, plan = needed(headers, b"req-kind"), needed(headers, b"x-plan")
+        method, at = names.methods.get(kind), names.plans.get(plan)
         if method is None:
             raise Malformed(f"unknown method {kind[:40]!r}", 404)
-        if len(path) < 2 or path[0] or path[1] != kind:
-            raise Malformed(f"the path is not one of {kind[:40]!r}")
+        if at is None:
+            raise Malformed(f"unknown plan {plan[:40]!r}")
+        if message.target.partition(b"?")[0].split(b"/", 2)[:2] != [b"", kind]:
+            raise Malformed(f"a path that is not one of {kind[:40]!r}")
         if message.method not in (b"GET", b"POST"):
-            raise Malformed(f"method {message.method[:20]!r} is not taken", 405)
-        plan = names.plans.get(needed(headers, b"x-plan"))
-        if plan is None:
-            raise Malformed(f"unknown plan {headers[b'x-plan'][:40]!r}")
+            raise Malformed(f"{message.method[:20]!r} is not taken", 405)
         needed(headers, b"req-id")
-        self.method, self.plan = method, plan
+        if method in names.with_key:
+            needed(headers, b"idempotency-key")
+        customer, quota = needed(headers, b"x-customer"), needed(headers, b"x-quota")
         try:
-            self.account = int(needed(headers, b"x-customer"), 16)
-            wait_s = float(needed(headers, b"req-deadline"))
-            quota = dict(part.split(b"=", 1) for part in needed(headers, b"x-quota").split(b","))
-            self.units, self.width = float(quota[b"units"]), float(quota[b"spread"])
+            self.account, wait_s = int(customer, 16), float(needed(headers, b"req-deadline"))
+            parts = dict(part.split(b"=", 1) for part in quota.split(b","))
+            self.units, self.width = float(parts[b"units"]), float(parts[b"spread"])
+            first = int(parts[b"first"])
         except (ValueError, KeyError) as bad:
             raise Malformed(f"a field that can't be read: {bad}") from bad
-        if not 0 <= self.account < 1 << 33 or len(headers[b"x-customer"]) != 16:
-            raise Malformed("no customer of 16 hex digits under 2^33")
+        if not 0 <= self.account < 1 << 33 or len(customer) != 16:
+            raise Malformed("x-customer is no 16 hex digits under 2^33")
         if not 0 <= wait_s <= LONGEST_S:
             raise Malformed(f"absurd deadline {wait_s}")
-        if not 0 < self.units <= MOST_UNITS or not 1 <= self.width <= MOST_UNITS:
-            raise Malformed(f"absurd quota {headers[b'x-quota'][:40]!r}")
-        self.until = came + int(wait_s * 1_000_000)
+        if not (0 < self.units <= MOST and 1 <= self.width <= MOST and 0 <= first <= MOST):
+            raise Malformed(f"absurd quota {quota[:60]!r}")
+        self.method, self.plan, self.wait_us = method, at, int(wait_s * 1_000_000)
 
 
 def needed(headers: dict[bytes, bytes], name: bytes) -> bytes:
@@ -61,20 +71,12 @@
     return value
 
 
-class Names:
-    """The names of methods and plans, as they stand in heads."""
-
-    def __init__(self, methods: list[str], plans: list[str]) -> None:
-        self.methods = {name.encode(): at for at, name in enumerate(methods)}
-        self.plans = {name.encode(): at for at, name in enumerate(plans)}
-
-
 class Client:
     """One client's connection."""
 
-    def __init__(self, line: Line, writer: asyncio.StreamWriter, now: int) -> None:
-        self.line, self.writer = line, writer
-        self.since = now  # when it fell idle, or its message or answer began
+    def __init__(self, writer: asyncio.StreamWriter, now: int) -> None:
+        self.writer = writer
+        self.since = now  # when it fell idle, or when its message, or the writing of its answer, began
         self.idle = True  # nothing of a message has come, nothing is owed
         self.held: Held | None = None
 
@@ -98,133 +100,141 @@
         if len(self.open) >= self.most and not self.make_room():
             self.tally.add("connections of clients: no descriptor left")
             return writer.transport.abort()
-        client = self.open[writer] = Client(line, writer, self.clock.now())
+        client = self.open[writer] = Client(writer, self.runtime.came())
 
         def came() -> None:
             if client.idle:
-                client.idle, client.since = False, self.clock.now()
+                client.idle, client.since = False, self.runtime.came()
 
         def gone() -> None:
             if client.held:
-                self.tally.add("RPCs: client gone")
                 self.runtime.client_gone(client.held)
 
-        line.on_bytes, line.on_close = came, gone
         self.tally.add("connections of clients")
-        rest = b""
+        messages = Messages(reader, answers=False)
+        line.on_bytes, line.on_close = came, gone
         try:
-            while message := await read_message(reader, rest, client=False):
-                rest = message.rest
-                if client.idle:  # it came with the one before
-                    client.idle, client.since = False, self.clock.now()
+            while message := await messages.next():
                 await self.answer(client, message)
                 if writer.transport.get_write_buffer_size():
                     client.since = self.clock.now()
                     await writer.drain()
-                if not message.keeps or self.ending or writer.is_closing():
+                if self.ending or not message.keeps or writer.is_closing():
                     break
-                client.since, client.idle = self.clock.now(), not rest
+                client.idle, client.since = not messages.pending(), self.clock.now()
         except Malformed as bad:
-            self.complain(client, bad)
+            await self.complain(client, bad, reader)
         except OSError:
             self.tally.add("connections of clients: broken")
+        except Exception:  # a fault here costs this one connection, never the gateway
+            logger.exception("a client's connection failed")
+            self.tally.must(False, "connection failed")
         finally:
             line.on_bytes = line.on_close = None
             del self.open[writer]
             writer.close()
 
-    def complain(self, client: Client, bad: Malformed) -> None:
-        self.tally.add(f"bad requests: {bad.status}")
-        logger.warning("bad request: {}", bad)
+    async def complain(self, client: Client, bad: Malformed, reader: asyncio.StreamReader) -> None:
+        """A plain 4xx. Closing at once would reset it away where more of the message is still on its way."""
+        self.tally.report(f"bad requests: {bad.status}", str(bad))
         body = str(bad).encode()[:200] + b"\n"
         more = b"Content-Type: text/plain\r\nConnection: close\r\nContent-Length: %d\r\n" % len(body)
         write_message(client.writer, [status_line(bad.status), more], body)
+        client.since = self.clock.now()
+        try:
+            async with asyncio.timeout(LINGER_S):
+                await client.writer.drain()
+                client.writer.write_eof()
+                while await reader.read(65_536):
+                    pass
+        except OSError:
+            client.writer.transport.abort()
 
     async def answer(self, client: Client, message: Message) -> None:
-        if message.target == b"/healthz":
+        if message.target == b"/healthz" and message.method == b"GET":
             self.tally.add("health checks")
-            status, body = (503, b"ending\n") if self.ending else (200, b"ok\n")
-            return self.put(client, message, status, body)
-        status, body, more = await self.life(client, message)
-        if client.writer.is_closing() or status == 0:
-            return
-        self.tally.add(f"answers: {status}")
-        self.put(client, message, status, body, more)
-
-    def put(self, client: Client, message: Message, status: int, body: bytes, more: bytes = b"") -> None:
+            status, body, more = (503, b"ending\n", b"") if self.ending else (200, b"ok\n", b"")
+        else:
+            status, body, more = await self.life(client, message)
+            if status == 0 or client.writer.is_closing():
+                return self.tally.add("RPCs: client gone")
         if self.ending or not message.keeps:
             more += b"Connection: close\r\n"
-        write_message(client.writer, [status_line(status), more, b"Content-Length: %d\r\n" % len(body)], body)
+        head = [status_line(status), more, b"Content-Length: %d\r\n" % len(body)]
+        write_message(client.writer, head, body)
 
     async def life(self, client: Client, message: Message) -> tuple[int, bytes, bytes]:
         """One RPC, from its head to its answer: status, body, more headers. Status 0: nobody waits."""
-        asked = Asked(message, client.since, self.names)
-        until = asked.until - self.slack_us  # so that the answer is there when the client's time is up
+        asked = Asked(message, self.names)
+        until = client.since + asked.wait_us
+        give_up_at = until - self.slack_us  # so that the answer is there when the client's time is up
         self.tally.add("RPCs")
         held = client.held = self.runtime.take_in(
-            asked.method, asked.plan, asked.account, asked.until, asked.units, asked.width)
+            asked.method, asked.plan, asked.account, until, asked.units, asked.width)
         try:
             while True:
-                wish = await held.wish()
-                match wish:
-                    case None:
+                match await held.wish(give_up_at):
+                    case None if held.gone:
                         return 0, b"", b""
                     case PushBack(_, wait_us):
                         self.tally.add("RPCs: pushed back")
                         return 429, b"", b"Retry-After: %.3f\r\n" % (wait_us / 1_000_000)
-                    case Abort():
-                        self.tally.add("RPCs: aborted")
-                        return 502, b"", b""
                     case CallOut(_, backend, limit_us):
                         n, now = held.calls, self.clock.now()
                         held.calls += 1
-                        end = min(until, now + limit_us) if limit_us else until
+                        end = min(give_up_at, now + limit_us) if limit_us else give_up_at
                         outcome, answer = await self.backends.call_out(
-                            held, n, backend, self.head(message, end - now), message.body, end)
+                            held, n, backend, head(message, end - now), message.body, end)
                         self.tally.add(f"call-outs: {outcome.value}")
                         self.runtime.call_out_ended(held, n, backend, outcome)
                         if outcome is Outcome.OK and answer and not held.gone:
                             self.tally.add("RPCs: ok")
                             kind = answer.headers.get(b"content-type")
                             return 200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b""
+                    case wish:
+                        self.tally.must(isinstance(wish, Abort), "RPC without an answer from the module")
+                        self.tally.add("RPCs: aborted")
+                        return 502, b"", b""
         finally:
             client.held = None
             self.runtime.let_go(held)
 
-    def head(self, message: Message, wait_us: int) -> list[bytes]:
-        """A call-out's head: what must pass on unchanged, and how long this gateway waits."""
-        head = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ",
-                message.headers.get(b"host", b"-"), b"\r\n"]
-        for name, text in KEPT_HEADERS:
-            if name in message.headers:
-                head += (text, message.headers[name], b"\r\n")
-        head.append(b"Req-Deadline: %.3f\r\n" % max(0.001, wait_us / 1_000_000))
-        if message.body or message.method != b"GET":
-            head.append(b"Content-Length: %d\r\n" % len(message.body))
-        return head
-
     def make_room(self) -> bool:
-        """Closes the connection that has been idle longest."""
-        idle = [c for c in self.open.values() if c.idle]
-        if idle:
+        """Closes a connection on which nothing is owed: the one longest idle, else the longest half way."""
+        free = [c for c in self.open.values() if c.held is None]
+        if free:
             self.tally.add("connections of clients: closed for room")
-            min(idle, key=lambda c: c.since).writer.transport.abort()
-        return bool(idle)
+            min(free, key=lambda c: (not c.idle, c.since)).writer.transport.abort()
+        return bool(free)
 
     def sweep(self) -> None:
-        """Ends what is stuck half way: heads, bodies, answers that nobody takes."""
-        late = self.clock.now() - int(PART_S * 1_000_000)
+        """Ends what is stuck half way: heads and bodies that don't come, answers that nobody takes."""
+        late = self.clock.now() - PART_US
         for client in list(self.open.values()):
             if not client.idle and client.held is None and client.since < late:
                 self.tally.add("connections of clients: stuck")
                 client.writer.transport.abort()
 
     async def finish(self) -> None:
-        """After SIGTERM: takes in what still comes, answers what is held, then closes the rest."""
+        """After SIGTERM: takes in what still comes, then closes what is idle and answers what is held."""
         await asyncio.sleep(LATE_CLIENTS_S)
         self.ending = True
         for client in list(self.open.values()):
             if client.idle:
                 client.writer.close()
-        while any(not c.idle for c in self.open.values()) or self.runtime.held:
+        await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
+        while self.runtime.held or any(not c.idle for c in self.open.values()):
             await asyncio.sleep(0.02)
+
+
+def head(message: Message, wait_us: int) -> list[bytes]:
+    """A call-out's head: what must pass on unchanged, and how long this gateway waits."""
+    headers = message.headers
+    lines = [message.method, b" ", message.target, b" HTTP/1.1\r\nHost: ", headers.get(b"host", b"-"),
+             b"\r\nReq-Id: ", headers[b"req-id"],
+             b"\r\nReq-Deadline: %.3f\r\n" % max(0.001, wait_us / 1_000_000)]
+    if key := headers.get(b"idempotency-key"):
+        lines += (b"Idempotency-Key: ", key, b"\r\n")
+    if message.body or message.method != b"GET":
+        lines.append(b"Content-Length: %d\r\n" % len(message.body))
+    return lines
--- a/stoneyoke/net/counter.py
+++ b/stoneyoke/net/counter.py
@@ -3,10 +3,8 @@
 import asyncio
 from collections import deque
 
-from loguru import logger
-
 from stoneyoke.interface import AddCount
-from stoneyoke.net.http import Line, Malformed, read_message
+from stoneyoke.net.http import Malformed, Messages, connect
 from stoneyoke.runtime import Clock, Runtime
 from stoneyoke.tally import Tally
 
@@ -93,18 +91,14 @@
 
     async def serve(self, link: Link) -> None:
         try:
-            loop = asyncio.get_running_loop()
-            async with asyncio.timeout(self.limit_us / 1_000_000):
-                transport, line = await loop.create_connection(Line, *self.address)
-            writer = asyncio.StreamWriter(transport, line, line.reader, loop)
+            line, writer = await connect(self.address, self.limit_us / 1_000_000)
             if link.closed:
-                return transport.abort()
+                return writer.transport.abort()
             link.writer = writer
             writer.writelines(link.unsent)
             link.unsent = []
-            rest = b""
-            while answer := await read_message(line.reader, rest, client=True):
-                rest = answer.rest
+            answers = Messages(line.reader, answers=True)
+            while answer := await answers.next():
                 if not link.calls:
                     raise Malformed("an answer to no call")
                 call, total = link.calls.popleft(), None
@@ -123,8 +117,7 @@
         except OSError:
             self.tally.add("counter: connections lost")
         except Malformed as bad:
-            self.tally.add("counter: malformed answers")
-            logger.warning("counter: {}", bad)
+            self.tally.report("counter: malformed answers", str(bad))
         finally:
             self.end(link)
             for call in link.calls:
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -9,7 +9,7 @@
 
 from stoneyoke.door import Door
 from stoneyoke.interface import FleetNews, Listed, State
-from stoneyoke.net.http import Line, Malformed, read_message, write_message
+from stoneyoke.net.http import Malformed, Messages, connect, write_message
 from stoneyoke.tally import Tally
 
 HOLD_MS = 4_000  # a watch's wait: with the 2 s after it, the 6 s in which all counts as told (protocol page)
@@ -55,23 +55,24 @@
         while True:
             try:
                 await self.watch()
-            except (OSError, Malformed) as bad:
-                self.tally.add("discovery: failures")
-                if isinstance(bad, Malformed):
-                    logger.warning("discovery: {}", bad)
+            except OSError as bad:
+                self.tally.report("discovery: no answer", f"{type(bad).__name__} {bad}")
+            except Malformed as bad:
+                self.tally.report("discovery: malformed answers", str(bad))
+            except Exception:  # a fault here must not end the watch
+                logger.exception("discovery failed")
+                self.tally.must(False, "discovery failed")
             await asyncio.sleep(AGAIN_S)
 
     async def watch(self) -> None:
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout(ANSWER_S):
-            transport, line = await loop.create_connection(Line, *self.address)
-        writer = asyncio.StreamWriter(transport, line, line.reader, loop)
+        line, writer = await connect(self.address, ANSWER_S)
+        answers = Messages(line.reader, answers=True)
         try:
             target, limit = b"/v1/servers", ANSWER_S
             while True:
                 write_message(writer, [b"GET %s HTTP/1.1\r\n" % target, self.host], b"")
                 async with asyncio.timeout(limit):
-                    answer = await read_message(line.reader, b"", client=True)
+                    answer = await answers.next()
                 if answer is None:
                     return
                 if answer.status != 200:
@@ -87,7 +88,7 @@
                 target = b"/v1/servers?from=%d&hold_ms=%d" % (news.index, HOLD_MS)
                 limit = HOLD_MS / 1000 + ANSWER_S
         finally:
-            transport.abort()
+            writer.transport.abort()
 
 
 class Fleet:
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -1,14 +1,18 @@
-"""HTTP/1.1 heads and bodies over asyncio streams: h11 parses them, writers gather them."""
+"""HTTP/1.1 heads and bodies over asyncio streams: httptools parses them in place, writes are gathered."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
+from typing import Any
 
-import h11
+import httptools
 
 BODY_TOP = 65_536  # the protocol page: a body holds no more than 64 KiB
 HEAD_TOP = 16_384  # bytes of a head; the largest of the protocol page holds some 500
-PIECE = 65_536  # bytes read at once
+PIECE = 16_384  # bytes read at once; a stream stops reading at twice that, so that no peer fills the memory
+
+Met = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[None, None, None]]
 
 
 class Malformed(Exception):
@@ -19,9 +23,6 @@
         self.status = status
 
 
-Met = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[None, None, None]]
-
-
 class Line(asyncio.StreamReaderProtocol):
     """A stream's protocol that tells at once when bytes come or the other end has closed."""
 
@@ -31,6 +32,12 @@
         self.on_bytes: Callable[[], None] | None = None
         self.on_close: Callable[[], None] | None = None
 
+    def connection_made(self, transport: Any) -> None:
+        # asyncio would set aside 256 KiB for each read; drain() is to wait for the last byte to leave.
+        transport.max_size = PIECE
+        transport.set_write_buffer_limits(high=0)
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         if self.on_bytes:
             self.on_bytes()
@@ -47,63 +54,120 @@
         super().connection_lost(exc)
 
 
+async def connect(address: tuple[str, int], within_s: float) -> tuple[Line, asyncio.StreamWriter]:
+    """A connection that is up, or an OSError (a TimeoutError is one)."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(within_s):
+        transport, line = await loop.create_connection(Line, *address)
+    return line, asyncio.StreamWriter(transport, line, line.reader, loop)
+
+
 class Message:
-    """A whole message: its first line's parts, its headers by lower-case name, its body."""
+    """A message: its first line's parts, its headers by lower-case name, its body."""
 
-    __slots__ = ("body", "headers", "keeps", "method", "rest", "status", "target")
+    __slots__ = ("body", "headers", "keeps", "method", "status", "target")
 
-    def __init__(self, headers: dict[bytes, bytes]) -> None:
-        self.headers = headers
-        self.method = self.target = self.rest = b""
+    def __init__(self) -> None:
+        self.headers: dict[bytes, bytes] = {}
+        self.method = self.target = self.body = b""
         self.status = 0
-        self.body: bytes = b""
         self.keeps = True  # the connection can carry another
 
 
-async def read_message(reader: asyncio.StreamReader, rest: bytes, *, client: bool) -> Message | None:
-    """The next request (client: the next answer), or None where the stream ends between two. What of the
-    following one has come already is its rest. Raises Malformed; OSError is the caller's."""
-    conn = h11.Connection(h11.CLIENT if client else h11.SERVER, max_incomplete_event_size=HEAD_TOP)
-    if rest:
-        conn.receive_data(rest)
-    message, body, size = None, [], 0
-    try:
-        while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                conn.receive_data(await reader.read(PIECE))
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > BODY_TOP:
-                    raise Malformed("body over 64 KiB", 413)
-                body.append(bytes(event.data))
-            elif isinstance(event, h11.Request | h11.Response):
-                message = Message(dict(event.headers))
-                if len(message.headers) != len(event.headers):
-                    raise Malformed("a header comes twice")
-                if isinstance(event, h11.Request):
-                    message.method, message.target = event.method, event.target
-                    if b"expect" in message.headers:
-                        raise Malformed("no expectations are met here", 417)
-                else:
-                    message.status = event.status_code
-            elif isinstance(event, h11.EndOfMessage) and message:
-                message.body = body[0] if len(body) == 1 else b"".join(body)
-                message.rest = conn.trailing_data[0]
-                message.keeps = conn.their_state is h11.DONE and not conn.trailing_data[1]
-                return message
-            elif isinstance(event, h11.ConnectionClosed):
-                return None
-            elif event is h11.PAUSED:
-                raise Malformed("the connection was to change its protocol")
-    except h11.RemoteProtocolError as bad:
-        raise Malformed(str(bad), bad.error_status_hint) from bad
+class Messages:
+    """The messages that come over one connection: requests, or (answers=True) answers."""
+
+    def __init__(self, reader: asyncio.StreamReader, *, answers: bool) -> None:
+        self.reader, self.answers = reader, answers
+        kind = httptools.HttpResponseParser if answers else httptools.HttpRequestParser
+        self.parser: Any = kind(self)
+        self.whole: deque[Message] = deque()  # no more than one piece read can hold
+        self.begun: Message | None = None
+        self.in_head = False
+        self.size = 0  # bytes of the head, then of the body, that is being read
+        self.fault: Malformed | None = None
+
+    async def next(self) -> Message | None:
+        """The next message, or None where the stream ends between two. Raises Malformed, or an OSError where
+        the connection breaks or the stream ends within a message."""
+        while not self.whole:
+            if self.fault:
+                raise self.fault
+            data = await self.reader.read(PIECE)
+            if not data:
+                return self.end()
+            if self.in_head or not self.begun:
+                self.size += len(data)
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade:
+                self.fault = Malformed("the connection was to change its protocol")
+            except httptools.HttpParserError as bad:
+                self.fault = self.fault or Malformed(f"no HTTP/1.1: {bad}")
+            if self.in_head and self.size > HEAD_TOP:
+                self.fault = self.fault or Malformed("head over 16 KiB", 431)
+        return self.whole.popleft()
+
+    def pending(self) -> bool:
+        """Whether anything beyond the last message has come already."""
+        return bool(self.whole or self.begun or self.fault)
+
+    def end(self) -> Message | None:
+        message = self.begun
+        if message is None:
+            return None
+        framed = b"content-length" in message.headers or b"transfer-encoding" in message.headers
+        if self.in_head or framed or not self.answers:
+            raise ConnectionResetError("the stream ended within a message")
+        self.begun, message.keeps = None, False  # an answer without framing lasts as long as its stream
+        return message
+
+    # ---- what the parser tells ----
+
+    def on_message_begin(self) -> None:
+        self.begun, self.in_head = Message(), True
+
+    def on_url(self, url: bytes) -> None:
+        if self.begun:
+            self.begun.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.begun:
+            name = name.lower()
+            if not self.in_head:  # after a body in chunks: counted with it
+                self.size += len(name) + len(value)
+            if name in self.begun.headers and not self.answers:
+                self.fault = self.fault or Malformed(f"{name[:40]!r} comes twice")
+            self.begun.headers[name] = value
+
+    def on_headers_complete(self) -> None:
+        self.in_head, self.size = False, 0
+        if not self.begun:
+            return
+        if self.answers:
+            self.begun.status = self.parser.get_status_code()
+        else:
+            self.begun.method = self.parser.get_method()
+            if b"expect" in self.begun.headers:
+                self.fault = self.fault or Malformed("no expectations are met here", 417)
+
+    def on_body(self, part: bytes) -> None:
+        self.size += len(part)
+        if self.size > BODY_TOP:
+            self.fault = self.fault or Malformed("body over 64 KiB", 413)
+        elif self.begun:
+            self.begun.body = self.begun.body + part if self.begun.body else part
+
+    def on_message_complete(self) -> None:
+        message, self.begun, self.size = self.begun, None, 0
+        if message and not self.fault and (not self.answers or message.status >= 200):
+            message.keeps = self.parser.should_keep_alive()
+            self.whole.append(message)
 
 
 def write_message(writer: asyncio.StreamWriter, head: list[bytes], body: bytes) -> None:
     """Head and body in one gathered write."""
-    head.append(b"\r\n")
-    writer.writelines((*head, body) if body else head)
+    writer.writelines((*head, b"\r\n", body))
 
 
 def status_line(status: int) -> bytes:
@@ -112,4 +176,4 @@
     return LINES[status]
 
 
-LINES: dict[int, bytes] = {}  # as many as this code answers with
+LINES: dict[int, bytes] = {}  # as many as there are statuses that this code answers with
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -19,6 +19,9 @@
 )
 from stoneyoke.tally import Tally
 
+STOOD_US = 100_000  # a timer overdue by this tells that the process stood still; a busy loop is late by 20 ms
+WAKING_US = 50_000  # connections made meanwhile are accepted within this after it woke
+
 Wish = CallOut | PushBack | Abort
 
 
@@ -39,21 +42,25 @@
 class Held:
     """One RPC, from its arrival until the front lets go of it."""
 
-    __slots__ = ("calls", "customer", "gone", "index", "stop", "waiter", "wishes")
+    __slots__ = ("calls", "clock", "gone", "index", "stop", "waiter", "wishes")
 
-    def __init__(self, index: int) -> None:
-        self.index = index
+    def __init__(self, index: int, clock: Clock) -> None:
+        self.index, self.clock = index, clock
         self.calls = 0  # call-outs begun; the next one's number
         self.gone = False  # the client is
         self.wishes: deque[Wish] = deque()
         self.waiter: asyncio.Future[None] | None = None
         self.stop: Callable[[int], None] | None = None  # calls off a call-out that is out, by number
 
-    async def wish(self) -> Wish | None:
-        """What the module wants done next; None: nothing any more, its client has gone."""
-        while not self.wishes and not self.gone:
+    async def wish(self, until: int) -> Wish | None:
+        """What the module wants done next. None: nothing, for its client has gone, or by then."""
+        if not self.wishes and not self.gone:
             self.waiter = asyncio.get_running_loop().create_future()
-            await self.waiter
+            try:
+                async with asyncio.timeout_at(self.clock.loop_time(until)):
+                    await self.waiter
+            except TimeoutError:
+                return None
         return self.wishes.popleft() if self.wishes and not self.gone else None
 
     def wake(self) -> None:
@@ -68,8 +75,25 @@
         self.held: dict[int, Held] = {}  # emptied by let_go()
         self.rpcs = 0
         self.customers = Door[int]()  # emptied by the module's Forget
+        self.due = self.gateway.born  # when the timer asked for last should fire
+        self.stood = self.woke = 0  # the last time that this process stood still: from when, until when
         self.add_count: Callable[[AddCount], None] = lambda _: None  # set by whoever speaks to the counter
 
+    def came(self) -> int:
+        """The earliest time at which what is read now may have come: while this process stood still, clients
+        sent on. An overdue timer shows that, or that one was overdue a moment ago."""
+        now = self.clock.now()
+        if now - self.due > STOOD_US:
+            return self.due
+        return self.stood if now - self.woke < WAKING_US else now
+
+    def timer(self, due: int, token: int) -> None:
+        now = self.clock.now()
+        if now - due > STOOD_US:
+            self.stood, self.woke = due, now
+            self.tally.report("stood still", f"for {(now - due) // 1000} ms")
+        self.tell(TimerFired(token))
+
     # ---- events in ----
 
     def tell(self, event: Event) -> None:
@@ -84,7 +108,7 @@
 
     def take_in(self, method: int, plan: int, account: int, until: int, units: float, width: float) -> Held:
         self.rpcs += 1
-        held = self.held[self.rpcs] = Held(self.rpcs)
+        held = self.held[self.rpcs] = Held(self.rpcs, self.clock)
         self.tell(Arrival(held.index, method, plan, self.customers.enter(account), account,
                           max(0, until - self.clock.now()), units, width))
         return held
@@ -118,7 +142,8 @@
                     held.wishes.append(action)
                     held.wake()
             case SetTimer(delay, token):
-                asyncio.get_running_loop().call_later(delay / 1_000_000, self.tell, TimerFired(token))
+                self.due = self.clock.now() + delay
+                asyncio.get_running_loop().call_later(delay / 1_000_000, self.timer, self.due, token)
             case CallOff(rpc, n):
                 if (held := self.held.get(rpc)) and held.stop:
                     held.stop(n)
