Tests of the gateway on sockets, on loopback between stand-ins; what they found is mended

Found by them: a request that asks for an upgrade was answered and its connection then got a second answer; a connection picked to make room could be picked twice; tasks cut short at the end were reported as faults; an outage of discovery filled the log with a line every 100 ms (now one line an outage).

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -87,29 +87,34 @@
     def told(self, news: News) -> None:
         self.runtime.listed(self.fleet.news(news))
 
-    async def run(self) -> None:
+    async def start(self) -> None:
         loop = asyncio.get_running_loop()
-        ended = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, ended.set)
-        loop.add_signal_handler(signal.SIGINT, ended.set)
-        loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counts: {}", self.tally.line()))
         loop.set_exception_handler(self.loop_failed)
         self.told(self.known)
-        watching = loop.create_task(self.discovery.run())
-        server = await loop.create_server(self.clients.line, *self.listen, backlog=self.backlog)
-        sweeping = loop.create_task(self.sweep())
-        gc.collect()
-        gc.freeze()
+        self.tasks = [loop.create_task(self.discovery.run()), loop.create_task(self.sweep())]
+        self.server = await loop.create_server(self.clients.line, *self.listen, backlog=self.backlog)
         logger.info("gateway {} of {} listens on {}:{}", self.runtime.terms.own_index,
                     self.runtime.terms.gateways, *self.listen)
-        await ended.wait()
+
+    async def finish(self) -> None:
         logger.info("ending: answers what is held")
         await self.clients.finish()
-        server.close()
-        for task in (watching, sweeping):
+        self.server.close()
+        for task in self.tasks:
             task.cancel()
         logger.info("counts: {}", self.tally.line())
 
+    async def run(self) -> None:
+        loop, ended = asyncio.get_running_loop(), asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, ended.set)
+        loop.add_signal_handler(signal.SIGINT, ended.set)
+        loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counts: {}", self.tally.line()))
+        await self.start()
+        gc.collect()
+        gc.freeze()  # what is there now stays: later collections needn't look at it
+        await ended.wait()
+        await self.finish()
+
     def loop_failed(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What nothing else caught: logged and counted, and the gateway goes on."""
         logger.opt(exception=context.get("exception")).error("event loop: {}", context.get("message"))
@@ -138,4 +143,5 @@
     return 0
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -126,6 +126,8 @@
             await self.complain(client, bad, reader)
         except OSError:
             self.tally.add("connections of clients: broken")
+        except asyncio.CancelledError:  # the program ends
+            writer.transport.abort()
         except Exception:  # a fault here costs this one connection, never the gateway
             logger.exception("a client's connection failed")
             self.tally.must(False, "connection failed")
@@ -201,7 +203,7 @@
 
     def make_room(self) -> bool:
         """Closes a connection on which nothing is owed: the one longest idle, else the longest half way."""
-        free = [c for c in self.open.values() if c.held is None]
+        free = [c for c in self.open.values() if c.held is None and not c.writer.is_closing()]
         if free:
             self.tally.add("connections of clients: closed for room")
             min(free, key=lambda c: (not c.idle, c.since)).writer.transport.abort()
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -48,6 +48,7 @@
 class Discovery:
     def __init__(self, tally: Tally, address: tuple[str, int], told: Callable[[News], None]) -> None:
         self.tally, self.address, self.told = tally, address, told
+        self.heard = True  # the last call was answered
         self.host = b"Host: %s:%d\r\n" % (address[0].encode(), address[1])
 
     async def run(self) -> None:
@@ -56,7 +57,11 @@
             try:
                 await self.watch()
             except OSError as bad:
-                self.tally.report("discovery: no answer", f"{type(bad).__name__} {bad}")
+                if self.heard:  # one line an outage
+                    self.tally.report("discovery: no answer", f"{type(bad).__name__} {bad}")
+                else:
+                    self.tally.add("discovery: no answer")
+                self.heard = False
             except Malformed as bad:
                 self.tally.report("discovery: malformed answers", str(bad))
             except Exception:  # a fault here must not end the watch
@@ -82,6 +87,7 @@
                 except ValueError as bad:
                     raise Malformed("an answer that is no JSON") from bad
                 self.tally.add("discovery: answers")
+                self.heard = True
                 self.told(news)
                 if not answer.keeps:
                     return
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -101,6 +101,7 @@
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade:
+                self.whole.pop()  # the one that asked for it
                 self.fault = Malformed("the connection was to change its protocol")
             except httptools.HttpParserError as bad:
                 self.fault = self.fault or Malformed(f"no HTTP/1.1: {bad}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,5 +1,11 @@
-"""One gateway under test, with the terms and events that most tests share."""
+"""One gateway under test, with the terms and events that most tests share, and stand-ins for its sockets."""
 
+import asyncio
+import functools
+import json
+import socket
+
+from stoneyoke.__main__ import Program
 from stoneyoke.control import Gateway
 from stoneyoke.interface import (
     Arrival, CallOut, CallOutEnded, Effect, FleetNews, Group, Listed, Method, Outcome, Plan, State,
@@ -72,3 +78,168 @@
 
 def sent(actions):
     return of(CallOut, actions)
+
+
+# ---- the gateway on loopback sockets, between stand-ins of the systems around it ----
+
+SETTINGS = {
+    "balancers": 3, "self-index": 1, "zone": 0, "discovery": "automatic", "zones": ["hall-a", "hall-b"],
+    "caps": {"cancel": True, "try-limit": 5, "dial-timeout-us": 250_000, "conn-idle-us": 30_000_000},
+    "extra": {"units-top": 4, "has-counter": True, "count-limit-us": 80_000},
+    "rules": {"cold-from": 0.2, "ramp-time-us": 10_000_000, "overload-factor": 2.0,
+              "overload-for-us": 1_500_000, "answer-slack-us": 8_000},
+    "classes": [
+        {"effect": "idempotent", "aim-us": 1_000_000, "deadline-us": 2_000_000, "gain": 1.0, "name": "look"},
+        {"effect": "deduplicated", "group": "all", "memory-span-us": 4_000_000, "aim-us": 1_000_000,
+         "deadline-us": 2_000_000, "gain": 3.0, "name": "order"}],
+    "tariffs": [{"units-per-s": 100.0, "depth": 400.0, "worth-factor": 1.0, "parallel": 0, "cap-rate": 0.0,
+                 "cap-depth": 0.0, "name": "team"}],
+}
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
+
+
+def on_loop(test):
+    """Runs an async test to its end, 20 s at most."""
+    @functools.wraps(test)
+    def run(*args, **kwargs):
+        asyncio.run(asyncio.wait_for(test(*args, **kwargs), 20))
+    return run
+
+
+async def until(holds):
+    """Lets the loop run on until holds() does; on_loop's limit is the end of it."""
+    while not holds():
+        await asyncio.sleep(0.002)
+
+
+async def read_request(reader):
+    """A request as it stands on the wire: its head's lines and its body. None where the stream ends."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        lines = head[:-4].split(b"\r\n")
+        size = next((int(x[15:]) for x in lines if x.lower().startswith(b"content-length:")), 0)
+        return lines, await reader.readexactly(size)
+    except (asyncio.IncompleteReadError, OSError):
+        return None
+
+
+class StandIn:
+    """An HTTP server whose answers the test sets: bytes, or a coroutine function of (request, writer).
+    None says nothing; b"" closes the connection."""
+
+    def __init__(self, answer=OK):
+        self.answer, self.got, self.connections, self.closed = answer, [], 0, 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = self.server.sockets[0].getsockname()
+        self.text = f"{self.address[0]}:{self.address[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while request := await read_request(reader):
+                self.got.append(request)
+                answer = await self.answer(request, writer) if callable(self.answer) else self.answer
+                if answer == b"":
+                    break
+                if answer:
+                    writer.write(answer)
+        except asyncio.CancelledError:
+            pass  # the test is over
+        self.closed += 1
+        writer.transport.abort()
+
+
+def json_answer(value):
+    body = json.dumps(value).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def entry(name, address, status="active", since_ms=0):
+    return {"name": name, "address": address, "zone": "hall-a", "type": "m2", "group": 3, "status": status,
+            "weight": 1.0, "since_ms": since_ms}
+
+
+def rpc(kind=b"look", body=b"", **changes):
+    """An RPC on the wire; a change of None leaves the header out."""
+    fields = {"Host": "app.svc", "Req-Id": "9b1f03aa5c7e2d41", "Req-Kind": kind.decode(), "X-Plan": "team",
+              "X-Customer": "00000000b4d65521", "Req-Deadline": "2.000",
+              "X-Quota": "units=2,spread=3,first=1"}
+    if kind == b"order":
+        fields |= {"Idempotency-Key": "5c0f6e1a", "Content-Length": str(len(body))}
+    fields |= {name.replace("_", "-"): value for name, value in changes.items()}
+    lines = "".join(f"{k}: {v}\r\n" for k, v in fields.items() if v is not None)
+    verb = b"POST" if kind == b"order" else b"GET"
+    return b"%s /%s/x?y=1 HTTP/1.1\r\n%s\r\n%s" % (verb, kind, lines.encode(), body)
+
+
+class Caller:
+    """A client's connection, byte for byte."""
+
+    def __init__(self, address, buffer=None):
+        self.address, self.buffer = address, buffer
+
+    async def __aenter__(self):
+        sock = socket.socket()
+        if self.buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.buffer)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, self.address)
+        self.reader, self.writer = await asyncio.open_connection(sock=sock)
+        return self
+
+    async def __aexit__(self, *_):
+        self.writer.transport.abort()
+
+    async def ask(self, data):
+        """The status, the headers and the body of what comes back."""
+        self.writer.write(data)
+        return await self.hear()
+
+    async def hear(self):
+        lines, body = await read_request(self.reader)
+        headers = dict(line.split(b": ", 1) for line in lines[1:])
+        return int(lines[0].split()[1]), headers, body
+
+
+class Town:
+    """A whole gateway, listening, with a backend, a counter and discovery as stand-ins."""
+
+    def __init__(self, answer=OK, limits=None):
+        self.backend = StandIn(answer)
+        self.counter = StandIn(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n2.0")
+        self.discovery = StandIn(self.tell)
+        self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+        self.list = None
+
+    async def tell(self, request, _):
+        return json_answer(self.list) if b"hold_ms" not in request[0][0] else None
+
+    async def __aenter__(self):
+        for part in (self.backend, self.counter, self.discovery):
+            await part.__aenter__()
+        self.list = {"index": 4, "snapshot": True, "endpoints": [entry("s-1", self.backend.text)]}
+        self.program = Program({
+            "listen": "127.0.0.1:0", "discovery": self.discovery.text, "counter": self.counter.text,
+            "seed": "8c1f30d27a5be964", "limits": self.limits, "known": self.list, "settings": SETTINGS})
+        await self.program.start()
+        self.address = self.program.server.sockets[0].getsockname()
+        return self
+
+    async def __aexit__(self, *_):
+        self.program.server.close()
+        for task in self.program.tasks:
+            task.cancel()
+        for part in (self.backend, self.counter, self.discovery):
+            await part.__aexit__()
+
+    def caller(self, buffer=None):
+        return Caller(self.address, buffer)
+
+    def count(self, what):
+        return self.program.tally.counts[what]
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,570 @@
+"""The gateway on loopback sockets: what passes, each outcome, and what must not bring it down."""
+
+import asyncio
+import json
+import subprocess
+import sys
+import time
+
+import pytest
+from helpers import OK, SETTINGS, StandIn, Town, json_answer, on_loop, read_request, rpc, until
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+from stoneyoke import __main__ as program
+from stoneyoke.interface import AddCount, Arrival, ClientGone, Outcome, PushBack, TimerFired
+from stoneyoke.net import clients
+from stoneyoke.net.backends import Backends
+from stoneyoke.net.counter import Counter
+from stoneyoke.net.discovery import Discovery, Fleet
+from stoneyoke.net.http import BODY_TOP
+from stoneyoke.runtime import Clock, Held
+from stoneyoke.tally import Tally
+
+
+@on_loop
+async def test_an_rpc_passes_unchanged_and_so_does_its_answer():
+    async with Town() as town, town.caller() as caller:
+        assert await caller.ask(rpc(b"order", b"\x00body\r\n", Req_Deadline="0.480")) == (
+            200, {b"Content-Length": b"3"}, b"yes")
+        (lines, body), = town.backend.got
+        assert lines[0] == b"POST /order/x?y=1 HTTP/1.1" and body == b"\x00body\r\n"
+        assert {b"Req-Id: 9b1f03aa5c7e2d41", b"Idempotency-Key: 5c0f6e1a", b"Host: app.svc"} <= set(lines)
+        told, = (float(x[14:]) for x in lines if x.startswith(b"Req-Deadline: "))
+        assert 0.3 < told <= 0.480
+        assert (await caller.ask(rpc()))[0] == 200
+        assert town.backend.connections == 1 and town.count("RPCs: ok") == 2
+        assert not town.program.runtime.held and not town.program.tally.broken
+
+
+@on_loop
+async def test_over_quota_is_pushed_back_with_a_time_and_a_backend_s_fault_is_never_passed_on():
+    async with Town(b"HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops") as town, town.caller() as caller:
+        status, headers, body = await caller.ask(rpc(X_Quota="units=1000,spread=3,first=1"))
+        assert status == 429 and float(headers[b"Retry-After"]) > 0 and not town.backend.got
+        status, headers, body = await caller.ask(rpc())
+        assert status == 429 and body == b"" and town.count("call-outs: error") >= 1
+
+
+@on_loop
+async def test_what_is_silent_is_answered_when_the_client_s_time_is_up_and_its_connection_closed():
+    async with Town(None) as town, town.caller() as caller:
+        start = time.monotonic()
+        status, _, _ = await caller.ask(rpc(b"order", Req_Deadline="0.200"))
+        assert status == 429 and 0.15 < time.monotonic() - start < 0.258
+        await until(lambda: town.backend.closed == 1)
+        assert len(town.backend.got) == 1 and town.count("call-outs: timed out") == 1
+
+
+@on_loop
+async def test_a_client_that_closes_is_told_of_at_once_and_its_call_out_runs_on():
+    told, release = [], asyncio.Event()
+
+    async def late(_, writer):
+        await release.wait()
+        return OK
+
+    async with Town(late) as town:
+        gateway = town.program.runtime.gateway
+        handle = gateway.handle
+        gateway.handle = lambda event, now: (told.append(event), handle(event, now))[1]
+        async with town.caller() as caller:
+            caller.writer.write(rpc())
+            await until(lambda: town.backend.got)
+        await until(lambda: any(isinstance(e, ClientGone) for e in told))
+        release.set()
+        await until(lambda: not town.program.runtime.held)
+        assert town.count("call-outs: ok") == 1 and town.count("RPCs: client gone") == 1
+        async with town.caller() as caller:
+            assert (await caller.ask(rpc()))[2] == b"yes" and town.backend.connections == 1
+
+
+BAD = [
+    (b"NONSENSE\r\n\r\n", 400), (b"GET /look HTTP/9.1\r\n\r\n", 400),
+    (b"GET /look HTTP/1.1\r\nNo colon\r\n\r\n", 400), (b"GET /look HTTP/1.1\r\nX: " + b"y" * 20_000, 431),
+    (rpc(Req_Kind="odd"), 404), (rpc(X_Plan="odd"), 400),
+    (rpc(b"order", b"x" * (BODY_TOP + 1)), 413), (rpc(b"order", b"", Idempotency_Key=None), 400),
+    (rpc(Expect="100-continue"), 417), (rpc().replace(b"GET /", b"DELETE /"), 405),
+    (rpc().replace(b"/look/", b"/lock/"), 400), (rpc(Content_Length="-1"), 400),
+    (rpc().replace(b"\r\n\r\n", b"\r\nReq-Id: second\r\n\r\n"), 400),
+    (rpc().replace(b"\r\n\r\n", b"\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"), 400),
+    *((rpc(**{name: value}), 400) for name, values in {
+        "Req_Id": [None], "Req_Kind": [None], "X_Plan": [None], "X_Customer": [None, "zz", "5", "f" * 16],
+        "Req_Deadline": [None, "soon", "nan", "-1", "inf", "1e9"],
+        "X_Quota": [None, "units", "units=2", "units=0,spread=3,first=1", "units=nan,spread=3,first=1",
+                    "units=2,spread=0,first=1", "units=2,spread=3,first=-1"],
+    }.items() for value in values),
+]
+
+
+@pytest.mark.parametrize("data, status", BAD)
+@on_loop
+async def test_bad_input_gets_a_plain_4xx_a_count_and_a_closed_connection(data, status):
+    async with Town() as town, town.caller() as caller:
+        got, headers, body = await caller.ask(data)
+        assert got == status and headers[b"Connection"] == b"close" and body
+        assert await caller.reader.read() == b""
+        assert town.count(f"bad requests: {status}") == 1 and not town.backend.got
+        assert not town.program.tally.broken
+
+
+@settings(max_examples=30, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(st.lists(st.one_of(
+    st.binary(min_size=1, max_size=80), st.just(rpc()), st.just(b"\r\n"),
+    st.tuples(st.integers(0, 200), st.binary(max_size=3)).map(
+        lambda cut: rpc()[:cut[0]] + cut[1] + rpc()[cut[0] + 1:])), min_size=1, max_size=4))
+@on_loop
+async def test_whatever_bytes_come_the_next_client_is_served(parts):
+    async with Town() as town:
+        async with town.caller() as caller:
+            for part in parts:
+                caller.writer.write(part)
+            caller.writer.write_eof()
+            assert b"HTTP/1.1 5" not in await caller.reader.read()
+        async with town.caller() as caller:
+            assert (await caller.ask(rpc()))[0] == 200
+        assert not town.program.tally.broken
+
+
+@on_loop
+async def test_at_the_limit_idle_connections_go_first_and_held_rpcs_stay():
+    async with Town(None) as town, town.caller() as held, town.caller() as idle, town.caller() as half:
+        town.program.clients.most = 3
+        held.writer.write(rpc())
+        half.writer.write(b"GET /look")
+        clients_open = town.program.clients.open
+        await until(lambda: town.backend.got and sum(not c.idle for c in clients_open.values()) == 2)
+        async with town.caller() as fourth:
+            fourth.writer.write(b"GET /look")
+            assert await idle.reader.read() == b""
+            await until(lambda: len(clients_open) == 3 and not any(c.idle for c in clients_open.values()))
+            async with town.caller() as fifth:
+                assert await half.reader.read() == b""
+                assert (await fifth.ask(b"GET /healthz HTTP/1.1\r\n\r\n"))[0] == 200
+        assert (await held.hear())[0] == 429
+
+
+@on_loop
+async def test_half_heads_and_answers_that_nobody_takes_are_ended():
+    async with Town(json_answer("x" * 60_000)) as town, town.caller() as half, town.caller(4096) as slow:
+        half.writer.write(b"GET /look")
+        slow.writer.write(rpc(X_Quota="units=1,spread=1,first=1") * 400)  # pipelined; nothing is read
+        clients_open = town.program.clients.open
+        stuck = town.program.clients.sweep
+        await until(lambda: len(clients_open) == 2 and all(not c.idle for c in clients_open.values()))
+        await until(lambda: any(w.transport.get_write_buffer_size() for w in clients_open))
+        stuck()
+        assert len(clients_open) == 2
+        for client in clients_open.values():
+            client.since -= clients.PART_US + 1
+        stuck()
+        await until(lambda: not clients_open)
+
+
+@on_loop
+async def test_sigterm_s_finish_takes_in_what_still_comes_and_answers_what_is_held():
+    release = asyncio.Event()
+
+    async def late(_, writer):
+        await release.wait()
+        return OK
+
+    async with Town(late) as town, town.caller() as held, town.caller() as idle:
+        assert (await idle.ask(b"GET /healthz HTTP/1.1\r\n\r\n"))[0] == 200
+        held.writer.write(rpc())
+        await until(lambda: town.backend.got)
+        finishing = asyncio.create_task(town.program.finish())
+        await asyncio.sleep(0)
+        async with town.caller() as newcomer:
+            newcomer.writer.write(rpc())
+            await until(lambda: len(town.backend.got) == 2)
+            assert await idle.reader.read() == b""
+            assert not finishing.done()
+            release.set()
+            for caller in (held, newcomer):
+                status, headers, body = await caller.hear()
+                assert (status, body, headers[b"Connection"]) == (200, b"yes", b"close")
+        await finishing
+
+
+# ---- call-outs ----
+
+
+def answers_then_hangs_up(data):
+    async def answer(_, writer):
+        writer.write(data)
+        return b""
+    return answer
+
+
+@pytest.mark.parametrize("answer, expected", [
+    (OK, Outcome.OK), (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    (b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
+    (b"HTTP/1.1 504 X\r\nsrv-declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
+    (b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR), (b"", Outcome.BROKEN),
+    (b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR), (b"gibberish\r\n\r\n", Outcome.BROKEN),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, Outcome.BROKEN),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Outcome.OK), (None, Outcome.TIMED_OUT),
+])
+@on_loop
+async def test_each_outcome_over_a_connection_is_told_apart(answer, expected):
+    async with StandIn(answer) as stand_in:
+        outcome, got = await Sender(stand_in.address).call_out()
+        assert outcome is expected
+        assert outcome is not Outcome.OK or got.body == b"yes"
+        assert len(stand_in.got) == 1
+
+
+class Sender:
+    """Call-outs to one backend, without a gateway around them."""
+
+    def __init__(self, address, idle_us=30_000_000, most=9):
+        self.clock, self.held = Clock(), Held(1, Clock())
+        self.backends = Backends(self.clock, Tally(), 250_000, idle_us, most)
+        self.backends.place(0, address)
+
+    async def call_out(self, n=0, backend=0, within=200_000, body=b""):
+        line = [b"POST /x HTTP/1.1\r\nContent-Length: %d\r\n" % len(body)]
+        return await self.backends.call_out(self.held, n, backend, line, body, self.clock.now() + within)
+
+
+@on_loop
+async def test_an_answer_cut_short_is_broken_and_one_that_its_stream_ends_is_whole():
+    for data, expected in ((OK[:-1], Outcome.BROKEN), (OK[:20], Outcome.BROKEN),
+                           (b"HTTP/1.1 200 OK\r\n\r\nyes", Outcome.OK)):
+        async with StandIn(answers_then_hangs_up(data)) as stand_in:
+            assert (await Sender(stand_in.address).call_out())[0] is expected
+
+
+@on_loop
+async def test_what_never_came_up_or_never_left_whole_has_never_run():
+    async with StandIn() as stand_in:
+        address = stand_in.address
+    assert (await Sender(address).call_out())[0] is Outcome.NO_CONNECTION
+    assert (await Sender(address).call_out(backend=1))[0] is Outcome.NOT_SENT
+
+    async def reads_nothing(reader, writer):
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(reads_nothing, "127.0.0.1", 0, limit=1)
+    backend = Sender(server.sockets[0].getsockname())
+    assert (await backend.call_out(body=b"x" * 30_000_000))[0] is Outcome.NO_CONNECTION
+    server.close()
+
+
+@on_loop
+async def test_a_call_off_closes_the_connection_so_that_a_late_answer_meets_no_other_rpc():
+    async with StandIn(None) as stand_in:
+        sender = Sender(stand_in.address)
+        out = asyncio.create_task(sender.call_out(n=3, within=5_000_000))
+        await until(lambda: stand_in.got)
+        sender.held.stop(2)
+        sender.held.stop(3)
+        assert (await out)[0] is Outcome.CALLED_OFF
+        await until(lambda: stand_in.closed == 1)
+        stand_in.answer = OK
+        assert (await sender.call_out())[0] is Outcome.OK and stand_in.connections == 2
+        assert sender.backends.open == 1
+
+
+@on_loop
+async def test_no_call_out_meets_a_connection_that_closed_spoke_up_or_is_near_its_idle_end():
+    async def speaks_up(request, writer):
+        writer.write(OK + b"HTTP/1.1 408 Late\r\n" if len(stand_in.got) == 1 else OK)
+        return b"" if len(stand_in.got) == 2 else None
+
+    async with StandIn(speaks_up) as stand_in:
+        sender = Sender(stand_in.address)
+        site = sender.backends.sites[0]
+        for made in (1, 2, 3, 3):
+            assert (await sender.call_out())[0] is Outcome.OK
+            assert stand_in.connections == made
+            await until(lambda made=made: stand_in.closed >= min(made, 2))
+            await until(lambda: not site.idle or len(stand_in.got) > 2)
+        site.idle[0].used_at -= sender.backends.idle_us
+        assert (await sender.call_out())[0] is Outcome.OK and stand_in.connections == 4
+        site.idle[0].used_at -= sender.backends.idle_us
+        sender.backends.sweep()
+        assert not site.idle and sender.backends.open == 0
+        assert len(stand_in.got) == 5, "each call-out was written once"
+
+
+@on_loop
+async def test_a_backend_s_new_address_is_used_and_its_old_connections_are_not():
+    async with StandIn() as old, StandIn() as new:
+        sender = Sender(old.address)
+        await sender.call_out()
+        sender.backends.place(0, new.address)
+        await until(lambda: old.closed == 1)
+        assert (await sender.call_out())[0] is Outcome.OK and len(new.got) == 1 and sender.backends.open == 1
+
+
+@on_loop
+async def test_with_no_descriptor_left_idle_connections_go_else_nothing_is_sent():
+    async with StandIn() as one, StandIn(None) as two:
+        sender = Sender(one.address, most=1)
+        sender.backends.place(1, two.address)
+        await sender.call_out()
+        out = asyncio.create_task(sender.call_out(backend=1))
+        await until(lambda: two.got and one.closed)
+        assert (await sender.call_out())[0] is Outcome.NOT_SENT
+        assert (await out)[0] is Outcome.TIMED_OUT
+
+
+# ---- the counter ----
+
+
+class Counted:
+    """Calls to a counter, and what the module would be told."""
+
+    def __init__(self, address, limit_us=80_000):
+        self.told, self.tally = [], Tally()
+        self.counter = Counter(Clock(), self.tally, self, address, limit_us)
+
+    def counted(self, name, total):
+        self.told.append((name, total))
+
+    def add(self, *names):
+        for name in names:
+            self.counter.add(AddCount(name, 4_000_000, -2.5))
+
+
+def total(text):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+
+@on_loop
+async def test_calls_to_the_counter_are_pipelined_and_answered_in_order():
+    async def answer(request, writer):
+        if len(stand_in.got) < 3:
+            return None
+        return total(b"1.5") + b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n" + total(b"-2.5e0")
+
+    async with StandIn(answer) as stand_in:
+        calls = Counted(stand_in.address)
+        calls.add(1, 2, 2**64 - 1)
+        await until(lambda: len(calls.told) == 3)
+        assert calls.told == [(1, 1.5), (2, None), (2**64 - 1, -2.5)] and stand_in.connections == 1
+        assert stand_in.got[2][0][0] == b"POST /counters/ffffffffffffffff?by=-2.5&expire_ms=4000 HTTP/1.1"
+
+
+@on_loop
+async def test_a_silent_connection_blocks_no_later_call_and_late_answers_find_nobody():
+    async def answer(request, writer):
+        if b"/counters/%016x" % 1 in request[0][0]:
+            await asyncio.sleep(0.12)
+            return total(b"11")
+        return total(b"2")
+
+    async with StandIn(answer) as stand_in:
+        calls = Counted(stand_in.address)
+        calls.add(1)
+        await until(lambda: calls.told)
+        calls.add(2)
+        await until(lambda: len(calls.told) == 2)
+        assert calls.told == [(1, None), (2, 2.0)] and stand_in.connections == 2
+        await until(lambda: not any(link.calls for link in calls.counter.links))
+        calls.add(3)
+        await until(lambda: len(calls.told) == 3)
+        assert calls.told[2] == (3, 2.0) and stand_in.connections == 2
+
+
+@on_loop
+async def test_a_counter_that_is_silent_or_gone_costs_its_limit_and_a_few_connections():
+    async with StandIn(None) as stand_in:
+        calls = Counted(stand_in.address, limit_us=10_000)
+        for name in range(12):
+            calls.add(name)
+            await until(lambda name=name: len(calls.told) > name)
+            assert len(calls.counter.links) <= 4
+    assert calls.told == [(name, None) for name in range(12)]
+    calls = Counted(stand_in.address)
+    calls.add(1, 2)
+    await until(lambda: len(calls.told) == 2)
+    await until(lambda: not calls.counter.links and not calls.counter.tasks)
+
+
+@pytest.mark.parametrize("answer", [b"HTP\r\n\r\n", total(b"many"), total(b""), b"", OK + OK])
+@on_loop
+async def test_nonsense_from_the_counter_is_no_answer(answer):
+    async with StandIn(answer) as stand_in:
+        calls = Counted(stand_in.address)
+        calls.add(1)
+        await until(lambda: calls.told)
+        assert calls.told == [(1, None)]
+        await until(lambda: not calls.counter.links)
+
+
+# ---- discovery ----
+
+
+def told_list(*entries, index=1, whole=True):
+    return json_answer({"index": index, "snapshot": whole, "endpoints": list(entries)})
+
+
+def line_of(name, address="10.1.0.1:7070", **changes):
+    return {"name": name, "address": address, "zone": "hall-b", "group": 3, "status": "active", "weight": 1.0,
+            "since_ms": 0} | changes
+
+
+@on_loop
+async def test_the_watch_goes_on_at_once_and_the_news_reaches_the_module_s_words():
+    placed, news = {}, []
+    fleet = Fleet(["hall-a", "hall-b"], placed.__setitem__, lambda backend: placed.pop(backend, None))
+    at = []
+
+    async def answer(request, writer):
+        at.append(time.monotonic())
+        return [
+            told_list(line_of("s-1"), line_of("s-2", since_ms=1_700_000_000_000), index=41),
+            told_list(line_of("s-2", "10.1.0.2:80", status="leaving"), line_of("s-1", status="left"),
+                      index=43, whole=False),
+            told_list(line_of("s-3", zone="hall-z"), index=44), None][len(at) - 1]
+
+    async with StandIn(answer) as stand_in:
+        discovery = Discovery(Tally(), stand_in.address, lambda one: news.append(fleet.news(one)))
+        watching = asyncio.create_task(discovery.run())
+        await until(lambda: len(at) == 4)
+        watching.cancel()
+    assert [x[0][0].split()[1] for x in stand_in.got] == [
+        b"/v1/servers", b"/v1/servers?from=41&hold_ms=4000", b"/v1/servers?from=43&hold_ms=4000",
+        b"/v1/servers?from=44&hold_ms=4000"]
+    assert max(b - a for a, b in zip(at, at[1:], strict=False)) < 0.2
+    told = [(n.whole, [(e.backend, e.zone, e.started_us, e.state.name) for e in n.entries]) for n in news]
+    assert told == [
+        (True, [(0, 1, 0, "READY"), (1, 1, 1_700_000_000_000_000, "READY")]),
+        (False, [(1, 1, 0, "DRAINING"), (0, 1, 0, "GONE")]), (True, [(2, 2, 0, "READY")])]
+    assert placed == {2: ("10.1.0.1", 7070)}
+
+
+@pytest.mark.parametrize("bad", [
+    b"", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", b"?\r\n\r\n", json_answer([]),
+    json_answer({"index": 1}),
+    total(b"{"), told_list({"name": "s-1"}), told_list(line_of("s-1", "nowhere")), told_list(7),
+    told_list(line_of("s-1", status="odd")), told_list(line_of("s-1", since_ms=None)),
+])
+@on_loop
+async def test_nonsense_or_silence_from_discovery_is_no_news(bad):
+    news = []
+
+    async def answer(request, writer):
+        return [bad, told_list(line_of("s-1")), None][len(stand_in.got) - 1]
+
+    async with StandIn(answer) as stand_in:
+        watching = asyncio.create_task(Discovery(Tally(), stand_in.address, news.append).run())
+        await until(lambda: len(stand_in.got) == 3)
+        watching.cancel()
+    assert [len(one.entries) for one in news] == [1]
+
+
+# ---- the runtime, counters and the program ----
+
+
+@on_loop
+async def test_a_fault_in_the_module_costs_one_event_and_its_rpc_is_still_answered():
+    async with Town() as town, town.caller() as caller:
+        handlers, tally = town.program.runtime.gateway.handlers, town.program.tally
+        works, handlers[Arrival] = handlers[Arrival], lambda _: 1 / 0
+        tally.must = lambda holds, what: holds or tally.add(f"BROKEN {what}")  # as a release build does
+        assert (await caller.ask(rpc(Req_Deadline="0.100")))[0] == 502
+        assert town.count("BROKEN module failed") == 1
+        handlers[Arrival] = works
+        assert (await caller.ask(rpc()))[0] == 200
+
+
+@on_loop
+async def test_a_gateway_that_stood_still_counts_deadlines_from_before():
+    async with Town() as town:
+        runtime = town.program.runtime
+        now = runtime.clock.now()
+        assert runtime.came() >= now
+        runtime.due = now - 3_000_000
+        assert runtime.came() == now - 3_000_000
+        runtime.timer(runtime.due, 0)
+        assert runtime.due > now and runtime.came() == now - 3_000_000  # connections made meanwhile
+        runtime.woke -= 1_000_000
+        assert runtime.came() >= now
+
+
+@on_loop
+async def test_wishes_wait_for_the_module_and_no_longer_than_told():
+    clock = Clock()
+    held = Held(1, clock)
+    assert await held.wish(clock.now() + 10_000) is None and not held.gone
+    asyncio.get_running_loop().call_soon(lambda: (held.wishes.append(PushBack(1, 5)), held.wake()))
+    assert await held.wish(clock.now() + 10_000_000) == PushBack(1, 5)
+
+
+@on_loop
+async def test_timers_fire_and_one_clock_counts_whole_microseconds_of_unix_time():
+    async with Town() as town:
+        told = []
+        runtime = town.program.runtime
+        runtime.gateway.handle = lambda event, now: told.append(event) or []
+        await until(lambda: TimerFired(0) in told)
+        assert abs(runtime.clock.now() - time.time_ns() // 1000) < 1_000_000
+        assert isinstance(runtime.clock.now(), int)
+
+
+def test_what_must_hold_is_asserted_in_debug_and_counted_in_release():
+    with pytest.raises(AssertionError, match="sky"):
+        Tally().must(False, "sky")
+    code = "import stoneyoke.tally as t; t = t.Tally(); t.must(False, 'sky'); t.add('rpc'); print(t.line())"
+    out = subprocess.run([sys.executable, "-O", "-c", code], capture_output=True, text=True, check=True)
+    assert out.stdout == "BROKEN sky=1, rpc=1\n"
+
+
+def test_reports_are_all_counted_and_few_are_logged():
+    lines = []
+    sink = logger.add(lambda text: lines.append(text), format="{message}")
+    tally = Tally()
+    for _ in range(500):
+        tally.report("bad", "x")
+    logger.remove(sink)
+    assert tally.counts["bad"] == 500 and 1 <= len(lines) <= 30
+
+
+CONFIG = {
+    "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9", "seed": "8c1f",
+    "limits": {"sockets": 1024}, "known": {"index": 1, "snapshot": True, "endpoints": []},
+    "settings": SETTINGS}
+
+
+@pytest.mark.parametrize("change, named", [
+    ({"listen": None}, "listen"), ({"listen": "here"}, "listen"), ({"discovery": "x:y"}, "discovery"),
+    ({"seed": "xyz"}, "seed"), ({"counter": 7}, "counter"), ({"limits": {"sockets": 3}}, "sockets"),
+    ({"known": {"index": 1}}, "known"), ({"settings": SETTINGS | {"classes": None}}, "classes"),
+    ({"settings": SETTINGS | {"caps": {"try-limit": 5}}}, "dial-timeout-us"), (None, "NODE_CONFIG"),
+])
+def test_a_bad_config_ends_it_with_one_line_that_names_it(change, named, monkeypatch, tmp_path, capsys):
+    path = tmp_path / "config.json"
+    path.write_text("{" if change is None else json.dumps(CONFIG | change))
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    assert program.main() != 0
+    out = capsys.readouterr()
+    assert named in out.err and out.err.count("\n") == 1
+
+
+def test_the_program_serves_until_sigterm_and_prints_its_counts(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(CONFIG))
+    with subprocess.Popen([sys.executable, "-O", "-m", "stoneyoke"], env={"NODE_CONFIG": str(path)},
+                          stderr=subprocess.PIPE, text=True) as child:
+        try:
+            assert any("gateway 1 of 3 listens" in line for line in child.stderr)
+            child.terminate()
+            _, rest = child.communicate(timeout=15)
+        finally:
+            child.kill()
+    assert child.returncode == 0 and "counts: " in rest and "BROKEN" not in rest
+
+
+@on_loop
+async def test_requests_on_the_wire_end_to_end_share_a_connection():
+    async with Town() as town, town.caller() as caller:
+        caller.writer.write(rpc() + rpc(b"order", b"abc") + rpc())
+        assert [(await caller.hear())[0] for _ in range(3)] == [200, 200, 200]
+        caller.writer.write_eof()
+        assert await read_request(caller.reader) is None
