After standing still, waiting news of backends reaches the module before anything is sent on

Seen: a probe stopped the process for 0.3 s while a backend's drain and an RPC waited on their sockets; the RPC went to the draining backend, which breaks the rule on drains once the stop is longer than its grace. Cause: sockets are read in the order in which they became ready, so clients.life took the RPC in before Discovery.watch had told. Now what was read after a stop lets the loop run eight turns first (runtime.catch_up). Also: finish() no longer waits for half heads, and a call-out that was wished for but never made is told as not sent.

--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -79,6 +79,7 @@
         self.since = now  # when it fell idle, or when its message, or the writing of its answer, began
         self.idle = True  # nothing of a message has come, nothing is owed
         self.held: Held | None = None
+        self.gone = False
 
 
 class Clients:
@@ -107,6 +108,7 @@
                 client.idle, client.since = False, self.runtime.came()
 
         def gone() -> None:
+            client.gone = True
             if client.held:
                 self.runtime.client_gone(client.held)
 
@@ -168,6 +170,9 @@
     async def life(self, client: Client, message: Message) -> tuple[int, bytes, bytes]:
         """One RPC, from its head to its answer: status, body, more headers. Status 0: nobody waits."""
         asked = Asked(message, self.names)
+        await self.runtime.catch_up()
+        if client.gone:
+            return 0, b"", b""
         until = client.since + asked.wait_us
         give_up_at = until - self.slack_us  # so that the answer is there when the client's time is up
         self.tally.add("RPCs")
@@ -188,6 +193,7 @@
                         outcome, answer = await self.backends.call_out(
                             held, n, backend, head(message, end - now), message.body, end)
                         self.tally.add(f"call-outs: {outcome.value}")
+                        await self.runtime.catch_up()
                         self.runtime.call_out_ended(held, n, backend, outcome)
                         if outcome is Outcome.OK and answer and not held.gone:
                             self.tally.add("RPCs: ok")
@@ -225,7 +231,7 @@
             if client.idle:
                 client.writer.close()
         await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
-        while self.runtime.held or any(not c.idle for c in self.open.values()):
+        while any(c.held or c.writer.transport.get_write_buffer_size() for c in self.open.values() if not c.gone):
             await asyncio.sleep(0.02)
 
 
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -21,6 +21,7 @@
 
 STOOD_US = 100_000  # a timer overdue by this tells that the process stood still; a busy loop is late by 20 ms
 WAKING_US = 50_000  # connections made meanwhile are accepted within this after it woke
+CATCH_UP_TURNS = 8  # of the loop: 64 KiB of news, the most there can be, are read in four
 
 Wish = CallOut | PushBack | Abort
 
@@ -87,6 +88,13 @@
             return self.due
         return self.stood if now - self.woke < WAKING_US else now
 
+    async def catch_up(self) -> None:
+        """After standing still: lets the loop read what else has come. News that waited must reach the module
+        before it sends anything on, or that goes to backends long known to drain."""
+        if self.clock.now() - self.came() > STOOD_US:
+            for _ in range(CATCH_UP_TURNS):
+                await asyncio.sleep(0)
+
     def timer(self, due: int, token: int) -> None:
         now = self.clock.now()
         if now - due > STOOD_US:
@@ -124,8 +132,12 @@
             held.wake()
 
     def let_go(self, held: Held) -> None:
+        """Its answer is decided, or nobody waits. What the module still wished for it was never sent."""
+        for wish in held.wishes:
+            if isinstance(wish, CallOut):
+                self.call_out_ended(held, held.calls, wish.backend, Outcome.NOT_SENT)
         self.held.pop(held.index, None)
-        self.tally.must(not self.gateway.holds(held.index), "RPC let go, still held by the module")
+        self.tally.must(held.gone or not self.gateway.holds(held.index), "RPC let go, held by the module")
 
     def counted(self, name: int, total: float | None) -> None:
         self.tell(CountAnswer(name, total is not None, total or 0.0))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from helpers import OK, SETTINGS, StandIn, Town, json_answer, on_loop, read_request, rpc, until
+from helpers import OK, SETTINGS, StandIn, Town, entry, json_answer, on_loop, read_request, rpc, until
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -568,3 +568,27 @@
         assert [(await caller.hear())[0] for _ in range(3)] == [200, 200, 200]
         caller.writer.write_eof()
         assert await read_request(caller.reader) is None
+
+
+@on_loop
+async def test_after_standing_still_news_is_read_before_any_rpc_is_sent_on():
+    watch = asyncio.Event()
+
+    async def tell(request, writer):
+        if b"hold_ms" in request[0][0]:
+            town.watcher = writer
+            watch.set()
+            return None
+        return json_answer(town.list)
+
+    town = Town()
+    town.discovery.answer = tell
+    async with town, town.caller() as caller:
+        await watch.wait()
+        await until(lambda: len(town.program.clients.open) == 1)
+        caller.writer.write(rpc())
+        news = {"index": 5, "snapshot": False, "endpoints": [entry("s-1", town.backend.text, "leaving")]}
+        town.watcher.write(json_answer(news))
+        time.sleep(0.3)  # the process stands still, and the loop finds both at once
+        assert (await caller.hear())[0] == 429 and not town.backend.got
+        assert town.count("stood still") == 1
