--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -81,6 +81,10 @@
         self.held: Held | None = None
         self.gone = False
 
+    def owed(self) -> bool:
+        """Whether it still waits for an answer, or for the rest of one."""
+        return not self.gone and bool(self.held or self.writer.transport.get_write_buffer_size())
+
 
 class Clients:
     def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, backends: Backends, names: Names,
@@ -231,7 +235,7 @@
             if client.idle:
                 client.writer.close()
         await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
-        while any(c.held or c.writer.transport.get_write_buffer_size() for c in self.open.values() if not c.gone):
+        while any(c.owed() for c in self.open.values()):
             await asyncio.sleep(0.02)
 
 
