--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run clean
+
+build: .venv  ## an environment with what the gateway needs, compiled as release builds run it
+
+.venv: requirements.txt
+	python3 -m venv .venv
+	$(PYTHON) -m pip install -q -r requirements.txt
+	$(PYTHON) -O -m compileall -q --invalidation-mode checked-hash stoneyoke .venv/lib
+
+test: .venv  ## plain cases and seeded random runs
+	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	$(PYTHON) -m pytest -q
+
+lint: .venv
+	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+
+run: .venv  ## one gateway in this shell; NODE_CONFIG names its configuration
+	exec $(PYTHON) -O -m stoneyoke
+
+clean:
+	rm -rf .venv .venv-ci .mypy_cache .ruff_cache .pytest_cache .hypothesis
