One budget of descriptors for all connections; no connection with an RPC on it is ever closed for room

Ruled out: the limit itself, 59 descriptors were open at most. Cause: clients had a fixed half, 24 connections; with all of them held, Clients.serve reset the next one, whose RPC was on it already. Now clients and backends share one budget (net/room.py), idle connections go first, a half message only after 250 ms, and where nothing can go, a client's connection uses what is kept spare and its RPC is decided.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -15,12 +15,13 @@
 from stoneyoke.net.counter import Counter
 from stoneyoke.net.discovery import Discovery, Fleet, News
 from stoneyoke.net.http import Malformed
+from stoneyoke.net.room import Room
 from stoneyoke.runtime import Clock, Runtime
 from stoneyoke.startup import BadStart, field, read_terms
 from stoneyoke.tally import Tally
 
 SWEEP_S = 1.0
-OWN_DESCRIPTORS = 40  # standard streams, the loop's own, the listener, the counter's and discovery's
+OWN_DESCRIPTORS = 24  # standard streams, the loop's own, the listener, the counter's and discovery's
 LEAST_DESCRIPTORS = 80  # with fewer there is no use in starting
 
 
@@ -58,9 +59,9 @@
         terms = read_terms(seed, settings)
         caps, rules, extra = settings["caps"], settings["rules"], settings["extra"]
         sockets = field(field(config, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
-        # The event loop accepts a backlog at a time before any of it is looked at; the rest is shared in two.
+        # The event loop accepts a backlog at a time before any of it is looked at; as much is kept spare.
         self.backlog = sockets // 8
-        share = (sockets - OWN_DESCRIPTORS - self.backlog) // 2
+        room = Room(sockets - OWN_DESCRIPTORS - 2 * self.backlog, self.backlog)
         names = Names([field(row, "name", str) for row in settings["classes"]],
                       [field(row, "name", str) for row in settings["tariffs"]], terms)
         self.listen = address(config, "listen")
@@ -69,10 +70,10 @@
         self.runtime = Runtime(terms, self.clock, self.tally)
         self.backends = Backends(
             self.clock, self.tally, field(caps, "dial-timeout-us", int, 1),
-            field(caps, "conn-idle-us", int, 1), share)
+            field(caps, "conn-idle-us", int, 1), room)
         self.clients = Clients(
             self.clock, self.tally, self.runtime, self.backends, names, field(rules, "answer-slack-us", int),
-            share)
+            room)
         if terms.has_counter:
             counter = Counter(self.clock, self.tally, self.runtime, address(config, "counter"),
                               field(extra, "count-limit-us", int, 1))
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -5,6 +5,7 @@
 
 from stoneyoke.interface import Outcome
 from stoneyoke.net.http import Line, Malformed, Message, Messages, connect, write_message
+from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
 
@@ -34,11 +35,11 @@
 
 
 class Backends:
-    def __init__(self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, most: int) -> None:
-        self.clock, self.tally, self.most = clock, tally, most
+    def __init__(self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, room: Room) -> None:
+        self.clock, self.tally, self.room = clock, tally, room
         self.dial_s, self.idle_us = dial_us / 1_000_000, int(idle_us * IDLE_PART)
         self.sites: dict[int, Site] = {}  # by backend; emptied by forget()
-        self.open = 0  # connections, idle or not
+        room.victims.append(self.idle_longest)
 
     def place(self, backend: int, address: tuple[str, int]) -> None:
         """Where a backend is from now on; connections to where it was are not used again."""
@@ -59,7 +60,7 @@
                 self.drop(site.idle.popleft())
 
     def drop(self, link: Link) -> None:
-        self.open -= 1
+        self.room.free()
         link.close()
 
     async def call_out(self, held: Held, n: int, backend: int, head: list[bytes], body: bytes,
@@ -82,7 +83,7 @@
         try:
             async with scope:
                 if (link := self.take_idle(site)) is None:
-                    if self.open >= self.most and not self.make_room():
+                    if not self.room.take():
                         self.tally.add("call-outs: no descriptor left")
                         return Outcome.NOT_SENT, None
                     link = await self.connect(site)
@@ -114,11 +115,11 @@
         return outcome(answer), answer
 
     async def connect(self, site: Site) -> Link:
-        self.open += 1
+        """A new connection, for which there is room."""
         try:
             line, writer = await connect(site.address, self.dial_s)
         except BaseException:
-            self.open -= 1
+            self.room.free()
             raise
         self.tally.add("connections to backends")
         return Link(line, writer)
@@ -145,12 +146,12 @@
         link.line.on_bytes = link.line.on_close = end
         site.idle.append(link)
 
-    def make_room(self) -> bool:
-        """Closes the connection that has been idle longest, of all backends."""
-        sites = [s for s in self.sites.values() if s.idle]
-        if sites:
-            self.drop(min(sites, key=lambda s: s.idle[0].used_at).idle.popleft())
-        return bool(sites)
+    def idle_longest(self) -> Victim | None:
+        sites = [site for site in self.sites.values() if site.idle]
+        if not sites:
+            return None
+        site = min(sites, key=lambda one: one.idle[0].used_at)
+        return False, site.idle[0].used_at, lambda: self.drop(site.idle.popleft())
 
 
 def outcome(answer: Message | None) -> Outcome:
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -7,11 +7,13 @@
 from stoneyoke.interface import Abort, CallOut, Effect, Outcome, PushBack, Terms
 from stoneyoke.net.backends import Backends
 from stoneyoke.net.http import Line, Malformed, Message, Messages, status_line, write_message
+from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held, Runtime
 from stoneyoke.tally import Tally
 
 LONGEST_S = 3600.0  # a deadline beyond this, or units or a spread beyond the next, are absurd
 MOST = 1e9
+HALF_WAY_US = 250_000  # a message not whole after this may be closed for room; one that is gets read sooner
 PART_US = 10_000_000  # a head or body that has begun must be whole, and an answer be taken, within this
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
 LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
@@ -78,19 +80,20 @@
         self.writer = writer
         self.since = now  # when it fell idle, or when its message, or the writing of its answer, began
         self.idle = True  # nothing of a message has come, nothing is owed
+        self.whole = False  # a message of it is, and not yet answered to the last byte
         self.held: Held | None = None
         self.gone = False
 
     def owed(self) -> bool:
-        """Whether it still waits for an answer, or for the rest of one."""
-        return not self.gone and bool(self.held or self.writer.transport.get_write_buffer_size())
+        return self.whole and not self.gone
 
 
 class Clients:
     def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, backends: Backends, names: Names,
-                 slack_us: int, most: int) -> None:
+                 slack_us: int, room: Room) -> None:
         self.clock, self.tally, self.runtime, self.backends = clock, tally, runtime, backends
-        self.names, self.slack_us, self.most = names, slack_us, most
+        self.names, self.slack_us, self.room = names, slack_us, room
+        room.victims.append(self.idle_longest)
         self.open: dict[asyncio.StreamWriter, Client] = {}  # emptied as connections close
         self.ending = False
 
@@ -102,7 +105,7 @@
         """A client's connection, from its first byte to its last."""
         line = writer.transport.get_protocol()
         assert isinstance(line, Line)
-        if len(self.open) >= self.most and not self.make_room():
+        if not self.room.take(spare=True):
             self.tally.add("connections of clients: no descriptor left")
             return writer.transport.abort()
         client = self.open[writer] = Client(writer, self.runtime.came())
@@ -121,13 +124,14 @@
         line.on_bytes, line.on_close = came, gone
         try:
             while message := await messages.next():
+                client.whole = True
                 await self.answer(client, message)
                 if writer.transport.get_write_buffer_size():
                     client.since = self.clock.now()
                     await writer.drain()
                 if self.ending or not message.keeps or writer.is_closing():
                     break
-                client.idle, client.since = not messages.pending(), self.clock.now()
+                client.whole, client.idle, client.since = False, not messages.pending(), self.clock.now()
         except Malformed as bad:
             await self.complain(client, bad, reader)
         except OSError:
@@ -140,6 +144,7 @@
         finally:
             line.on_bytes = line.on_close = None
             del self.open[writer]
+            self.room.free()
             writer.close()
 
     async def complain(self, client: Client, bad: Malformed, reader: asyncio.StreamReader) -> None:
@@ -211,13 +216,19 @@
             client.held = None
             self.runtime.let_go(held)
 
-    def make_room(self) -> bool:
-        """Closes a connection on which nothing is owed: the one longest idle, else the longest half way."""
-        free = [c for c in self.open.values() if c.held is None and not c.writer.is_closing()]
-        if free:
-            self.tally.add("connections of clients: closed for room")
-            min(free, key=lambda c: (not c.idle, c.since)).writer.transport.abort()
-        return bool(free)
+    def idle_longest(self) -> Victim | None:
+        """Idle, or half way and not from just now; never one on which an answer is owed."""
+        half = self.clock.now() - HALF_WAY_US
+        free = [c for c in self.open.values() if (c.idle or not c.owed() and c.since < half) and (
+            not c.writer.is_closing())]
+        if not free:
+            return None
+        client = min(free, key=lambda c: (not c.idle, c.since))
+        return not client.idle, client.since, lambda: self.close_for_room(client)
+
+    def close_for_room(self, client: Client) -> None:
+        self.tally.add("connections of clients: closed for room")
+        client.writer.transport.abort()
 
     def sweep(self) -> None:
         """Ends what is stuck half way: heads and bodies that don't come, answers that nobody takes."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,6 +19,7 @@
 from stoneyoke.net.counter import Counter
 from stoneyoke.net.discovery import Discovery, Fleet
 from stoneyoke.net.http import BODY_TOP
+from stoneyoke.net.room import Room
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
 
@@ -130,7 +131,7 @@
 @on_loop
 async def test_at_the_limit_idle_connections_go_first_and_held_rpcs_stay():
     async with Town(None) as town, town.caller() as held, town.caller() as idle, town.caller() as half:
-        town.program.clients.most = 3
+        town.program.clients.room.most = 4  # the call-out's is one
         held.writer.write(rpc())
         half.writer.write(b"GET /look")
         clients_open = town.program.clients.open
@@ -139,12 +140,26 @@
             fourth.writer.write(b"GET /look")
             assert await idle.reader.read() == b""
             await until(lambda: len(clients_open) == 3 and not any(c.idle for c in clients_open.values()))
+            oldest, = (c for c in sorted(clients_open.values(), key=lambda c: c.since)[:2] if not c.whole)
+            oldest.since -= clients.HALF_WAY_US
             async with town.caller() as fifth:
                 assert await half.reader.read() == b""
                 assert (await fifth.ask(b"GET /healthz HTTP/1.1\r\n\r\n"))[0] == 200
         assert (await held.hear())[0] == 429
 
 
+@on_loop
+async def test_with_every_connection_held_an_rpc_is_still_answered():
+    async with Town(None) as town, town.caller() as held:
+        held.writer.write(rpc())
+        await until(lambda: town.backend.got)
+        town.program.clients.room.most = 2
+        async with town.caller() as other:
+            status, headers, _ = await other.ask(rpc())
+            assert status == 429 and b"Retry-After" in headers and len(town.backend.got) == 1
+        assert town.count("call-outs: no descriptor left") >= 1
+
+
 @on_loop
 async def test_half_heads_and_answers_that_nobody_takes_are_ended():
     async with Town(json_answer("x" * 60_000)) as town, town.caller() as half, town.caller(4096) as slow:
@@ -221,7 +236,7 @@
 
     def __init__(self, address, idle_us=30_000_000, most=9):
         self.clock, self.held = Clock(), Held(1, Clock())
-        self.backends = Backends(self.clock, Tally(), 250_000, idle_us, most)
+        self.backends = Backends(self.clock, Tally(), 250_000, idle_us, Room(most, 0))
         self.backends.place(0, address)
 
     async def call_out(self, n=0, backend=0, within=200_000, body=b""):
@@ -266,7 +281,7 @@
         await until(lambda: stand_in.closed == 1)
         stand_in.answer = OK
         assert (await sender.call_out())[0] is Outcome.OK and stand_in.connections == 2
-        assert sender.backends.open == 1
+        assert sender.backends.room.used == 1
 
 
 @on_loop
@@ -287,7 +302,7 @@
         assert (await sender.call_out())[0] is Outcome.OK and stand_in.connections == 4
         site.idle[0].used_at -= sender.backends.idle_us
         sender.backends.sweep()
-        assert not site.idle and sender.backends.open == 0
+        assert not site.idle and sender.backends.room.used == 0
         assert len(stand_in.got) == 5, "each call-out was written once"
 
 
@@ -298,7 +313,8 @@
         await sender.call_out()
         sender.backends.place(0, new.address)
         await until(lambda: old.closed == 1)
-        assert (await sender.call_out())[0] is Outcome.OK and len(new.got) == 1 and sender.backends.open == 1
+        assert (await sender.call_out())[0] is Outcome.OK
+        assert len(new.got) == sender.backends.room.used == 1
 
 
 @on_loop
