A connection is closed as idle only when no byte waits on its socket; call-offs at the very end do no harm

Left as the cause, since no connection was refused or reset at the limit: an idle connection closed for room while an RPC was on its socket, unread. A probe shows it: such a connection was picked. The same held for the closing after SIGTERM. Also seen in a probe: a call-off in the turn in which the call-out's own time is up changed its outcome, or raised. Only fields that are read may not come twice; customers are hex digits alone.

--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -74,7 +74,7 @@
 
         def stop(number: int) -> None:
             nonlocal called_off
-            if number == n and not called_off:
+            if number == n and not called_off and not scope.expired():
                 called_off = True
                 scope.reschedule(0.0)
 
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -1,6 +1,10 @@
 """Clients' connections, and the life of one RPC."""
 
 import asyncio
+import fcntl
+import sys
+import termios
+from functools import partial
 
 from loguru import logger
 
@@ -13,6 +17,7 @@
 
 LONGEST_S = 3600.0  # a deadline beyond this, or units or a spread beyond the next, are absurd
 MOST = 1e9
+HEX = b"0123456789abcdefABCDEF"
 HALF_WAY_US = 250_000  # a message not whole after this may be closed for room; one that is gets read sooner
 PART_US = 10_000_000  # a head or body that has begun must be whole, and an answer be taken, within this
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
@@ -35,8 +40,7 @@
     __slots__ = ("account", "method", "plan", "units", "wait_us", "width")
 
     def __init__(self, message: Message, names: Names) -> None:
-        headers = message.headers
-        kind, plan = needed(headers, b"req-kind"), needed(headers, b"x-plan")
+        kind, plan = needed(message, b"req-kind"), needed(message, b"x-plan")
         method, at = names.methods.get(kind), names.plans.get(plan)
         if method is None:
             raise Malformed(f"unknown method {kind[:40]!r}", 404)
@@ -46,18 +50,18 @@
             raise Malformed(f"a path that is not one of {kind[:40]!r}")
         if message.method not in (b"GET", b"POST"):
             raise Malformed(f"{message.method[:20]!r} is not taken", 405)
-        needed(headers, b"req-id")
+        needed(message, b"req-id")
         if method in names.with_key:
-            needed(headers, b"idempotency-key")
-        customer, quota = needed(headers, b"x-customer"), needed(headers, b"x-quota")
+            needed(message, b"idempotency-key")
+        customer, quota = needed(message, b"x-customer"), needed(message, b"x-quota")
         try:
-            self.account, wait_s = int(customer, 16), float(needed(headers, b"req-deadline"))
+            self.account, wait_s = int(customer, 16), float(needed(message, b"req-deadline"))
             parts = dict(part.split(b"=", 1) for part in quota.split(b","))
             self.units, self.width = float(parts[b"units"]), float(parts[b"spread"])
             first = int(parts[b"first"])
         except (ValueError, KeyError) as bad:
             raise Malformed(f"a field that can't be read: {bad}") from bad
-        if not 0 <= self.account < 1 << 33 or len(customer) != 16:
+        if customer.strip(HEX) or len(customer) != 16 or self.account >= 1 << 33:
             raise Malformed("x-customer is no 16 hex digits under 2^33")
         if not 0 <= wait_s <= LONGEST_S:
             raise Malformed(f"absurd deadline {wait_s}")
@@ -66,10 +70,10 @@
         self.method, self.plan, self.wait_us = method, at, int(wait_s * 1_000_000)
 
 
-def needed(headers: dict[bytes, bytes], name: bytes) -> bytes:
-    value = headers.get(name)
-    if not value:
-        raise Malformed(f"{name.decode()} is missing")
+def needed(message: Message, name: bytes) -> bytes:
+    value = message.headers.get(name)
+    if not value or name in message.repeated:
+        raise Malformed(f"{name.decode()} {'comes twice' if value else 'is missing'}")
     return value
 
 
@@ -87,6 +91,13 @@
     def owed(self) -> bool:
         return self.whole and not self.gone
 
+    def quiet(self) -> bool:
+        """Idle, and with no byte waiting to be read: closing it loses nothing."""
+        if not self.idle or self.writer.is_closing():
+            return False
+        count = fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
+        return int.from_bytes(count, sys.byteorder) == 0
+
 
 class Clients:
     def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, backends: Backends, names: Names,
@@ -219,12 +230,11 @@
     def idle_longest(self) -> Victim | None:
         """Idle, or half way and not from just now; never one on which an answer is owed."""
         half = self.clock.now() - HALF_WAY_US
-        free = [c for c in self.open.values() if (c.idle or not c.owed() and c.since < half) and (
-            not c.writer.is_closing())]
-        if not free:
-            return None
-        client = min(free, key=lambda c: (not c.idle, c.since))
-        return not client.idle, client.since, lambda: self.close_for_room(client)
+        for client in sorted(self.open.values(), key=lambda c: (not c.idle, c.since)):
+            stuck = not (client.idle or client.whole or client.writer.is_closing()) and client.since < half
+            if stuck or client.quiet():
+                return not client.idle, client.since, partial(self.close_for_room, client)
+        return None
 
     def close_for_room(self, client: Client) -> None:
         self.tally.add("connections of clients: closed for room")
@@ -243,7 +253,7 @@
         await asyncio.sleep(LATE_CLIENTS_S)
         self.ending = True
         for client in list(self.open.values()):
-            if client.idle:
+            if client.quiet():
                 client.writer.close()
         await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
         while any(c.owed() for c in self.open.values()):
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -65,10 +65,11 @@
 class Message:
     """A message: its first line's parts, its headers by lower-case name, its body."""
 
-    __slots__ = ("body", "headers", "keeps", "method", "status", "target")
+    __slots__ = ("body", "headers", "keeps", "method", "repeated", "status", "target")
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
+        self.repeated: tuple[bytes, ...] = ()
         self.method = self.target = self.body = b""
         self.status = 0
         self.keeps = True  # the connection can carry another
@@ -137,8 +138,8 @@
             name = name.lower()
             if not self.in_head:  # after a body in chunks: counted with it
                 self.size += len(name) + len(value)
-            if name in self.begun.headers and not self.answers:
-                self.fault = self.fault or Malformed(f"{name[:40]!r} comes twice")
+            if name in self.begun.headers:
+                self.begun.repeated += (name,)
             self.begun.headers[name] = value
 
     def on_headers_complete(self) -> None:
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -112,7 +112,11 @@
             self.tally.must(False, "module failed")
             actions = self.gateway.actions
         for action in actions:
-            self.carry_out(action)
+            try:
+                self.carry_out(action)
+            except Exception:  # nor does a fault in a front's part keep the other actions from being done
+                logger.exception("{} could not be carried out", action)
+                self.tally.must(False, "action failed")
 
     def take_in(self, method: int, plan: int, account: int, until: int, units: float, width: float) -> Held:
         self.rpcs += 1
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -91,7 +91,8 @@
     (rpc().replace(b"\r\n\r\n", b"\r\nReq-Id: second\r\n\r\n"), 400),
     (rpc().replace(b"\r\n\r\n", b"\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"), 400),
     *((rpc(**{name: value}), 400) for name, values in {
-        "Req_Id": [None], "Req_Kind": [None], "X_Plan": [None], "X_Customer": [None, "zz", "5", "f" * 16],
+        "Req_Id": [None], "Req_Kind": [None], "X_Plan": [None],
+        "X_Customer": [None, "zz", "5", "f" * 16, "0x" + "0" * 14],
         "Req_Deadline": [None, "soon", "nan", "-1", "inf", "1e9"],
         "X_Quota": [None, "units", "units=2", "units=0,spread=3,first=1", "units=nan,spread=3,first=1",
                     "units=2,spread=0,first=1", "units=2,spread=3,first=-1"],
@@ -148,6 +149,17 @@
         assert (await held.hear())[0] == 429
 
 
+@on_loop
+async def test_an_idle_connection_on_which_an_rpc_has_just_come_is_not_closed_for_room():
+    async with Town() as town, town.caller() as caller:
+        assert (await caller.ask(rpc()))[0] == 200
+        client, = town.program.clients.open.values()
+        assert client.quiet() and town.program.clients.idle_longest()
+        caller.writer.write(rpc())  # on the socket; the loop has not seen it yet
+        assert not client.quiet() and town.program.clients.idle_longest() is None
+        assert (await caller.hear())[0] == 200
+
+
 @on_loop
 async def test_with_every_connection_held_an_rpc_is_still_answered():
     async with Town(None) as town, town.caller() as held:
@@ -284,6 +296,19 @@
         assert sender.backends.room.used == 1
 
 
+@on_loop
+async def test_a_call_off_that_meets_the_end_of_its_time_does_no_harm():
+    async with StandIn(None) as stand_in:
+        sender = Sender(stand_in.address)
+        out = asyncio.create_task(sender.call_out(within=20_000))
+        await until(lambda: stand_in.got)
+        time.sleep(0.05)  # the time is up, and the call-off comes in the same turn of the loop
+        loop, faults = asyncio.get_running_loop(), []
+        loop.set_exception_handler(lambda _, context: faults.append(context))
+        loop.call_later(0.0, lambda: sender.held.stop(0))
+        assert (await out)[0] is Outcome.TIMED_OUT and not faults
+
+
 @on_loop
 async def test_no_call_out_meets_a_connection_that_closed_spoke_up_or_is_near_its_idle_end():
     async def speaks_up(request, writer):
