A list entry that can't be used is left out alone; no other backend goes for it

A probe with one odd status in a whole list froze the list: News refused it all, again every 100 ms. An entry is now left out and reported, and such a list is taken as changes, so that nothing missing from it counts as gone.

--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -25,7 +25,7 @@
         try:
             self.name, self.state = str(row["name"]), STATES[row["status"]]
             host, port = str(row.get("address") or ":0").rsplit(":", 1)
-            self.address = (host, int(port)) if host else None
+            self.address = (host.strip("[]"), int(port)) if host else None
             self.zone, self.cell = str(row.get("zone", "")), max(0, int(row.get("group", 0)))
             self.started_us = max(0, int(row.get("since_ms", 0))) * 1000
         except (KeyError, TypeError, ValueError, AttributeError) as bad:
@@ -35,14 +35,22 @@
 
 
 class News:
-    """What one answer of discovery tells."""
+    """What one answer of discovery tells. An entry that can't be used is left out; what is not in a list with
+    such an entry may well be there, so that list is taken as changes."""
 
     def __init__(self, top: Any) -> None:
+        self.entries: list[Entry] = []
+        self.left_out = ""  # why the last entry left out was
         try:
             self.index, self.whole = int(top["index"]), bool(top["snapshot"])
-            self.entries = [Entry(row) for row in top["endpoints"]]
+            rows = list(top["endpoints"])
         except (KeyError, TypeError, ValueError) as bad:
             raise Malformed(f"not a list of backends: {str(top)[:80]}") from bad
+        for row in rows:
+            try:
+                self.entries.append(Entry(row))
+            except Malformed as bad:
+                self.whole, self.left_out = False, str(bad)
 
 
 class Discovery:
@@ -87,6 +95,8 @@
                 except ValueError as bad:
                     raise Malformed("an answer that is no JSON") from bad
                 self.tally.add("discovery: answers")
+                if news.left_out:
+                    self.tally.report("discovery: entries left out", news.left_out)
                 self.heard = True
                 self.told(news)
                 if not answer.keeps:
