A flood of half messages exhausts no descriptors, and closes no connection with an RPC on it

A probe opened 1,500 connections with 60 KB of a body each at a limit of 1,024: 47 accepts failed with 'too many open files' and accepting stood still for a second each time. Cause: the loop accepts up to its backlog (128) a turn, and five turns pass until a connection closed for room is gone. It now accepts an eighth of the limit over five turns; the system's own queue stays long. A faster flood reset an RPC's new connection, since half messages were spared for 250 ms; what spares a connection is now that a whole message, or bytes not yet looked at, are on it.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from typing import Any
 
@@ -21,6 +22,7 @@
 from stoneyoke.tally import Tally
 
 SWEEP_S = 1.0
+WAITING = 1024  # connections that may wait to be accepted; the system cuts it down to what it allows
 OWN_DESCRIPTORS = 24  # standard streams, the loop's own, the listener, the counter's and discovery's
 LEAST_DESCRIPTORS = 80  # with fewer there is no use in starting
 
@@ -59,9 +61,10 @@
         terms = read_terms(seed, settings)
         caps, rules, extra = settings["caps"], settings["rules"], settings["extra"]
         sockets = field(field(config, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
-        # The event loop accepts a backlog at a time before any of it is looked at; as much is kept spare.
-        self.backlog = sockets // 8
-        room = Room(sockets - OWN_DESCRIPTORS - 2 * self.backlog, self.backlog)
+        # An eighth is kept spare, and an eighth is for connections accepted and not yet looked at: five turns
+        # of the loop pass until one closed for room is gone, and each turn accepts as many as it is let.
+        self.accepts = max(1, sockets // 8 // 5)
+        room = Room(sockets - OWN_DESCRIPTORS - 2 * (sockets // 8), sockets // 8)
         names = Names([field(row, "name", str) for row in settings["classes"]],
                       [field(row, "name", str) for row in settings["tariffs"]], terms)
         self.listen = address(config, "listen")
@@ -93,7 +96,9 @@
         loop.set_exception_handler(self.loop_failed)
         self.told(self.known)
         self.tasks = [loop.create_task(self.discovery.run()), loop.create_task(self.sweep())]
-        self.server = await loop.create_server(self.clients.line, *self.listen, backlog=self.backlog)
+        listener = socket.create_server(self.listen)
+        self.server = await loop.create_server(self.clients.line, sock=listener, backlog=self.accepts)
+        listener.listen(WAITING)  # the loop has set it to what it accepts in a turn; more may wait
         logger.info("gateway {} of {} listens on {}:{}", self.runtime.terms.own_index,
                     self.runtime.terms.gateways, *self.listen)
 
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -19,7 +19,6 @@
 LONGEST_S = 3600.0  # a deadline beyond this, or units or a spread beyond the next, are absurd
 MOST = 1e9
 HEX = b"0123456789abcdefABCDEF"
-HALF_WAY_US = 250_000  # a message not whole after this may be closed for room; one that is gets read sooner
 PART_US = 10_000_000  # a head or body that has begun must be whole, and an answer be taken, within this
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
 LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
@@ -81,8 +80,8 @@
 class Client:
     """One client's connection."""
 
-    def __init__(self, writer: asyncio.StreamWriter, now: int) -> None:
-        self.writer = writer
+    def __init__(self, writer: asyncio.StreamWriter, messages: Messages, now: int) -> None:
+        self.writer, self.messages = writer, messages
         self.since = now  # when it fell idle, or when its message, or the writing of its answer, began
         self.idle = True  # nothing of a message has come, nothing is owed
         self.whole = False  # a message of it is, and not yet answered to the last byte
@@ -93,8 +92,8 @@
         return self.whole and not self.gone
 
     def quiet(self) -> bool:
-        """Idle, and with no byte waiting to be read: closing it loses nothing."""
-        if not self.idle or self.writer.is_closing():
+        """No whole message has come and no byte waits to be read: closing it loses no RPC."""
+        if self.whole or not self.messages.hungry or self.writer.is_closing():
             return False
         count = fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
         return int.from_bytes(count, sys.byteorder) == 0
@@ -119,9 +118,11 @@
         if not self.room.take(spare=True):
             self.tally.add("connections of clients: no descriptor left")
             return writer.transport.abort()
-        client = self.open[writer] = Client(writer, self.runtime.came())
+        messages = Messages(reader, answers=False)
+        client = self.open[writer] = Client(writer, messages, self.runtime.came())
 
         def came() -> None:
+            messages.hungry = False
             if client.idle:
                 client.idle, client.since = False, self.runtime.came()
 
@@ -131,7 +132,6 @@
                 self.runtime.client_gone(client.held)
 
         self.tally.add("connections of clients")
-        messages = Messages(reader, answers=False)
         line.on_bytes, line.on_close = came, gone
         try:
             while message := await messages.next():
@@ -228,11 +228,9 @@
             self.runtime.let_go(held)
 
     def idle_longest(self) -> Victim | None:
-        """Idle, or half way and not from just now; never one on which an answer is owed."""
-        half = self.clock.now() - HALF_WAY_US
+        """Idle, else half way; never one on which an answer is owed."""
         for client in sorted(self.open.values(), key=lambda c: (not c.idle, c.since)):
-            stuck = not (client.idle or client.whole or client.writer.is_closing()) and client.since < half
-            if stuck or client.quiet():
+            if client.quiet():
                 return not client.idle, client.since, partial(self.close_for_room, client)
         return None
 
@@ -253,7 +251,7 @@
         await asyncio.sleep(LATE_CLIENTS_S)
         self.ending = True
         for client in list(self.open.values()):
-            if client.quiet():
+            if client.idle and client.quiet():
                 client.writer.close()
         await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
         while any(c.owed() for c in self.open.values()):
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -87,6 +87,8 @@
         self.in_head = False
         self.size = 0  # bytes of the head, then of the body, that is being read
         self.fault: Malformed | None = None
+        # All that has come is taken in and makes no message yet. Whoever is told of bytes first unsets it.
+        self.hungry = False
 
     async def next(self) -> Message | None:
         """The next message, or None where the stream ends between two. Raises Malformed, or an OSError where
@@ -94,7 +96,9 @@
         while not self.whole:
             if self.fault:
                 raise self.fault
+            self.hungry = True
             data = await self.reader.read(PIECE)
+            self.hungry = False
             if not data:
                 return self.end()
             if self.in_head or not self.begun:
