--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -104,8 +104,9 @@
 
     async def finish(self) -> None:
         logger.info("ending: answers what is held")
-        await self.clients.finish()
+        await self.clients.take_late()
         self.server.close()
+        await self.clients.answer_held()
         for task in self.tasks:
             task.cancel()
         logger.info("counts: {}", self.tally.line())
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -246,14 +246,17 @@
                 self.tally.add("connections of clients: stuck")
                 client.writer.transport.abort()
 
-    async def finish(self) -> None:
-        """After SIGTERM: takes in what still comes, then closes what is idle and answers what is held."""
+    async def take_late(self) -> None:
+        """After SIGTERM: goes on as if nothing were while clients still come, then closes what is idle."""
         await asyncio.sleep(LATE_CLIENTS_S)
         self.ending = True
         for client in list(self.open.values()):
             if client.idle and client.quiet():
                 client.writer.close()
         await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
+
+    async def answer_held(self) -> None:
+        """Ends once nothing is owed: as none listens any more, that is the longest deadline at most."""
         while any(c.owed() for c in self.open.values()):
             await asyncio.sleep(0.02)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -207,6 +207,9 @@
             newcomer.writer.write(rpc())
             await until(lambda: len(town.backend.got) == 2)
             assert await idle.reader.read() == b""
+            await until(lambda: not town.program.server.is_serving())
+            with pytest.raises(ConnectionRefusedError):  # else a front that goes on would keep it for ever
+                await town.caller().__aenter__()
             assert not finishing.done()
             release.set()
             for caller in (held, newcomer):
@@ -281,6 +284,21 @@
     server.close()
 
 
+@on_loop
+async def test_a_machine_that_says_nothing_to_a_connection_costs_the_dial_limit():
+    with socket.socket() as silent:  # its queue is full: what comes then gets no answer at all
+        silent.bind(("127.0.0.1", 0))
+        silent.listen(0)
+        with socket.create_connection(silent.getsockname()):
+            sender, start = Sender(silent.getsockname()), time.monotonic()
+            assert (await sender.call_out(within=5_000_000))[0] is Outcome.NO_CONNECTION
+            assert 0.2 < time.monotonic() - start < 1.0 and sender.backends.room.used == 0
+            out = asyncio.create_task(sender.call_out(within=5_000_000))
+            await until(lambda: sender.held.stop)
+            sender.held.stop(0)
+            assert (await out)[0] is Outcome.NOT_SENT and sender.backends.room.used == 0
+
+
 @on_loop
 async def test_a_call_off_closes_the_connection_so_that_a_late_answer_meets_no_other_rpc():
     async with StandIn(None) as stand_in:
