--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -160,7 +160,7 @@
 
     async def complain(self, client: Client, bad: Malformed, reader: asyncio.StreamReader) -> None:
         """A plain 4xx. Closing at once would reset it away where more of the message is still on its way."""
-        self.tally.report(f"bad requests: {bad.status}", str(bad))
+        self.tally.report(f"bad input: {bad.status}", str(bad))
         body = str(bad).encode()[:200] + b"\n"
         more = b"Content-Type: text/plain\r\nConnection: close\r\nContent-Length: %d\r\n" % len(body)
         write_message(client.writer, [status_line(bad.status), more], body)
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -76,7 +76,7 @@
 
 
 class Messages:
-    """The messages that come over one connection: requests, or (answers=True) answers."""
+    """The messages that come over one connection: what clients ask, or (answers=True) answers."""
 
     def __init__(self, reader: asyncio.StreamReader, *, answers: bool) -> None:
         self.reader, self.answers = reader, answers
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -112,8 +112,8 @@
         await asyncio.sleep(0.002)
 
 
-async def read_request(reader):
-    """A request as it stands on the wire: its head's lines and its body. None where the stream ends."""
+async def read_message(reader):
+    """A message as it stands on the wire: its head's lines and its body. None where the stream ends."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
         lines = head[:-4].split(b"\r\n")
@@ -142,7 +142,7 @@
     async def serve(self, reader, writer):
         self.connections += 1
         try:
-            while request := await read_request(reader):
+            while request := await read_message(reader):
                 self.got.append(request)
                 answer = await self.answer(request, writer) if callable(self.answer) else self.answer
                 if answer == b"":
@@ -202,7 +202,7 @@
         return await self.hear()
 
     async def hear(self):
-        lines, body = await read_request(self.reader)
+        lines, body = await read_message(self.reader)
         headers = dict(line.split(b": ", 1) for line in lines[1:])
         return int(lines[0].split()[1]), headers, body
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from helpers import OK, SETTINGS, StandIn, Town, entry, json_answer, on_loop, read_request, rpc, until
+from helpers import OK, SETTINGS, StandIn, Town, entry, json_answer, on_loop, read_message, rpc, until
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from loguru import logger
@@ -109,7 +109,7 @@
         got, headers, body = await caller.ask(data)
         assert got == status and headers[b"Connection"] == b"close" and body
         assert await caller.reader.read() == b""
-        assert town.count(f"bad requests: {status}") == 1 and not town.backend.got
+        assert town.count(f"bad input: {status}") == 1 and not town.backend.got
         assert not town.program.tally.broken
 
 
@@ -699,12 +699,12 @@
 
 
 @on_loop
-async def test_requests_on_the_wire_end_to_end_share_a_connection():
+async def test_rpcs_written_one_after_another_share_a_connection():
     async with Town() as town, town.caller() as caller:
         caller.writer.write(rpc() + rpc(b"order", b"abc") + rpc())
         assert [(await caller.hear())[0] for _ in range(3)] == [200, 200, 200]
         caller.writer.write_eof()
-        assert await read_request(caller.reader) is None
+        assert await read_message(caller.reader) is None
 
 
 @on_loop
