--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -49,8 +49,8 @@
     return given
 
 
-class Program:
-    """The parts of a gateway, put together from its configuration."""
+class Charter:
+    """What the configuration says, read and checked as a whole. BadStart names what can't be used."""
 
     def __init__(self, given: dict[str, Any]) -> None:
         settings = field(given, "settings", dict)
@@ -58,63 +58,94 @@
             seed = int(field(given, "seed", str), 16)
         except ValueError as bad:
             raise BadStart(f"'seed' is no hex number: {given['seed']!r}") from bad
-        terms = read_terms(seed, settings)
-        caps, rules, extra = settings["caps"], settings["rules"], settings["extra"]
-        sockets = field(field(given, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
-        # An eighth is kept spare, and an eighth is for connections accepted and not yet looked at: five turns
-        # of the loop pass until one closed for room is gone, and each turn accepts as many as it is let.
-        self.accepts = max(1, sockets // 8 // 5)
-        room = Room(sockets - OWN_DESCRIPTORS - 2 * (sockets // 8), sockets // 8)
-        names = Names([field(row, "name", str) for row in settings["classes"]],
-                      [field(row, "name", str) for row in settings["tariffs"]], terms)
-        self.listen = address(given, "listen")
-        discovery = address(given, "discovery")
-        self.clock, self.tally = Clock(), Tally()
-        self.runtime = Runtime(terms, self.clock, self.tally)
-        self.backends = Backends(
-            self.clock, self.tally, field(caps, "dial-timeout-us", int, 1),
-            field(caps, "conn-idle-us", int, 1), room)
-        self.clients = Clients(
-            self.clock, self.tally, self.runtime, self.backends, names, field(rules, "answer-slack-us", int),
-            room)
-        if terms.has_counter:
-            counter = Counter(self.clock, self.tally, self.runtime, address(given, "counter"),
-                              field(extra, "count-limit-us", int, 1))
-            self.runtime.add_count = counter.add
-        self.fleet = Fleet(field(settings, "zones", list), self.backends.place, self.backends.forget)
-        self.discovery = Discovery(self.tally, discovery, self.told)
+        self.terms = read_terms(seed, settings)
+        self.names = Names([field(row, "name", str) for row in settings["classes"]],
+                           [field(row, "name", str) for row in settings["tariffs"]], self.terms)
+        caps = settings["caps"]
+        self.dial_us, self.idle_us = (field(caps, key, int, 1) for key in ("dial-timeout-us", "conn-idle-us"))
+        self.slack_us = field(settings["rules"], "answer-slack-us", int)
+        self.zones = field(settings, "zones", list)
+        self.descriptors = field(field(given, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
+        self.listen, self.discovery = address(given, "listen"), address(given, "discovery")
+        self.counter: tuple[str, int] | None = None
+        self.count_limit_us = 0
+        if self.terms.has_counter:
+            self.counter = address(given, "counter")
+            self.count_limit_us = field(settings["extra"], "count-limit-us", int, 1)
         try:
             self.known = News(field(given, "known", dict))
         except Malformed as bad:
             raise BadStart(f"'known': {bad}") from bad
 
+
+class Program:
+    """The parts of a gateway, put together from its configuration."""
+
+    def __init__(self, charter: Charter) -> None:
+        self.charter = charter
+        # An eighth is kept spare, and an eighth is for connections accepted and not yet looked at: five turns
+        # of the loop pass until one closed for room is gone, and each turn accepts as many as it is let.
+        part = charter.descriptors // 8
+        self.accepts = max(1, part // 5)
+        room = Room(charter.descriptors - OWN_DESCRIPTORS - 2 * part, part)
+        self.clock, self.tally = Clock(), Tally()
+        self.runtime = Runtime(charter.terms, self.clock, self.tally)
+        self.backends = Backends(self.clock, self.tally, charter.dial_us, charter.idle_us, room)
+        self.clients = Clients(self.clock, self.tally, self.runtime, self.backends, charter.names,
+                               charter.slack_us, room)
+        self.counter: Counter | None = None
+        if charter.counter:
+            self.counter = Counter(
+                self.clock, self.tally, self.runtime, charter.counter, charter.count_limit_us)
+            self.runtime.add_count = self.counter.add
+        self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget)
+        self.discovery = Discovery(self.tally, self.told)
+
     def told(self, news: News) -> None:
         self.runtime.listed(self.fleet.news(news))
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(self.loop_failed)
-        self.told(self.known)
-        self.tasks = [loop.create_task(self.discovery.run()), loop.create_task(self.sweep())]
-        listener = socket.create_server(self.listen)
+        self.told(self.charter.known)
+        self.discovery.follow(self.charter.discovery)
+        self.sweeping = loop.create_task(self.sweep())
+        listener = socket.create_server(self.charter.listen)
         self.server = await loop.create_server(self.clients.line, sock=listener, backlog=self.accepts)
         listener.listen(WAITING)  # the loop has set it to what it accepts in a turn; more may wait
         logger.info("gateway {} of {} listens on {}:{}", self.runtime.terms.own_index,
-                    self.runtime.terms.gateways, *self.listen)
+                    self.runtime.terms.gateways, *self.charter.listen)
+
+    def reload(self) -> None:
+        """SIGHUP: discovery and counter are where the file says now; all that is known stays. Whatever else
+        it says counts from the next start on."""
+        try:
+            new = Charter(read_given())
+        except BadStart as bad:
+            self.tally.add("reloads: unusable")
+            return logger.error("reload: the old configuration stays: {}", bad)
+        self.tally.add("reloads")
+        if new.discovery != self.charter.discovery:
+            self.discovery.follow(new.discovery)
+        if self.counter and new.counter:
+            self.counter.move(new.counter)
+        self.charter = new
+        logger.info("reload: discovery at {}, counter at {}", new.discovery, new.counter)
 
     async def finish(self) -> None:
         logger.info("ending: answers what is held")
         await self.clients.take_late()
         self.server.close()
         await self.clients.answer_held()
-        for task in self.tasks:
-            task.cancel()
+        self.discovery.end()
+        self.sweeping.cancel()
         logger.info("counts: {}", self.tally.line())
 
     async def run(self) -> None:
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, ended.set)
         loop.add_signal_handler(signal.SIGINT, ended.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGUSR1, lambda: logger.info("counts: {}", self.tally.line()))
         await self.start()
         gc.collect()
@@ -138,7 +169,7 @@
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False, diagnose=False)
     try:
-        program = Program(read_given())
+        program = Program(Charter(read_given()))
     except BadStart as bad:
         print(f"stoneyoke: {bad}", file=sys.stderr)
         return 2
--- a/stoneyoke/net/counter.py
+++ b/stoneyoke/net/counter.py
@@ -25,7 +25,8 @@
 class Link:
     """A connection to the counter with its calls in order; the task that reads it ends with it."""
 
-    def __init__(self) -> None:
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.address = address
         self.calls: deque[Call] = deque()
         self.writer: asyncio.StreamWriter | None = None
         self.unsent: list[bytes] = []  # while it connects; as many calls as its limit lets come
@@ -37,11 +38,22 @@
     def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, address: tuple[str, int],
                  limit_us: int) -> None:
         self.clock, self.tally, self.runtime = clock, tally, runtime
-        self.address, self.limit_us = address, limit_us
-        self.host = b"Host: %s:%d\r\n\r\n" % (address[0].encode(), address[1])
-        self.links: list[Link] = []
+        self.limit_us = limit_us
+        self.links: list[Link] = []  # to where the counter is; a link leaves as it ends, all with a move
         self.tasks: set[asyncio.Task[None]] = set()  # one a connection
 
+        self.move(address)
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Calls go there from now on; those that are out elsewhere are answered there while that lasts."""
+        self.address, self.host = address, b"Host: %s:%d\r\n\r\n" % (address[0].encode(), address[1])
+        for link in [link for link in self.links if link.address != address]:
+            self.links.remove(link)
+            if link.calls:
+                asyncio.get_running_loop().call_later(SILENT_US / 1_000_000, self.end, link)
+            else:
+                self.end(link)
+
     def add(self, action: AddCount) -> None:
         now = self.clock.now()
         call = Call(action.name, now)
@@ -68,7 +80,7 @@
                 return link
         if len(self.links) >= MOST_LINKS:
             self.end(min(self.links, key=lambda one: one.calls[0].at))
-        link = Link()
+        link = Link(self.address)
         self.links.append(link)
         task = asyncio.get_running_loop().create_task(self.serve(link))
         self.tasks.add(task)
@@ -85,13 +97,14 @@
         """Calls still out on it are given up on as their own time comes."""
         if not link.closed:
             link.closed = True
-            self.links.remove(link)
+            if link in self.links:
+                self.links.remove(link)
             if link.writer:
                 link.writer.transport.abort()
 
     async def serve(self, link: Link) -> None:
         try:
-            line, writer = await connect(self.address, self.limit_us / 1_000_000)
+            line, writer = await connect(link.address, self.limit_us / 1_000_000)
             if link.closed:
                 return writer.transport.abort()
             link.writer = writer
@@ -112,7 +125,7 @@
                     ending = "turned away" if total is None else "answered"
                     self.tally.add(f"counter calls: {ending}")
                     self.runtime.counted(call.name, total)
-                if not answer.keeps:
+                if not answer.keeps or not link.calls and link not in self.links:
                     break
         except OSError:
             self.tally.add("counter: connections lost")
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -54,16 +54,30 @@
 
 
 class Discovery:
-    def __init__(self, tally: Tally, address: tuple[str, int], told: Callable[[News], None]) -> None:
-        self.tally, self.address, self.told = tally, address, told
+    """Watches one address; after a move the old one too, until the new one has told its list."""
+
+    def __init__(self, tally: Tally, told: Callable[[News], None]) -> None:
+        self.tally, self.told = tally, told
         self.heard = True  # the last call was answered
-        self.host = b"Host: %s:%d\r\n" % (address[0].encode(), address[1])
+        self.watches: list[asyncio.Task[None]] = []  # the newest last; emptied from the front by answered()
+
+    def follow(self, address: tuple[str, int]) -> None:
+        self.watches.append(asyncio.get_running_loop().create_task(self.run(address)))
+
+    def end(self) -> None:
+        while self.watches:
+            self.watches.pop().cancel()
+
+    def answered(self) -> None:
+        """Whoever answers replaces all watches that are older."""
+        while self.watches and self.watches[0] is not asyncio.current_task():
+            self.watches.pop(0).cancel()
 
-    async def run(self) -> None:
+    async def run(self, address: tuple[str, int]) -> None:
         """Watches for ever: a failed connection is made anew and begins with the whole list."""
         while True:
             try:
-                await self.watch()
+                await self.watch(address)
             except OSError as bad:
                 if self.heard:  # one line an outage
                     self.tally.report("discovery: no answer", f"{type(bad).__name__} {bad}")
@@ -77,13 +91,14 @@
                 self.tally.must(False, "discovery failed")
             await asyncio.sleep(AGAIN_S)
 
-    async def watch(self) -> None:
-        line, writer = await connect(self.address, ANSWER_S)
+    async def watch(self, address: tuple[str, int]) -> None:
+        line, writer = await connect(address, ANSWER_S)
         answers = Messages(line.reader, answers=True)
+        host = b"Host: %s:%d\r\n" % (address[0].encode(), address[1])
         try:
             target, limit = b"/v1/servers", ANSWER_S
             while True:
-                write_message(writer, [b"GET %s HTTP/1.1\r\n" % target, self.host], b"")
+                write_message(writer, [b"GET %s HTTP/1.1\r\n" % target, host], b"")
                 async with asyncio.timeout(limit):
                     answer = await answers.next()
                 if answer is None:
@@ -98,6 +113,7 @@
                 if news.left_out:
                     self.tally.report("discovery: entries left out", news.left_out)
                 self.heard = True
+                self.answered()
                 self.told(news)
                 if not answer.keeps:
                     return
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 import json
 import socket
 
-from stoneyoke.__main__ import Program
+from stoneyoke.__main__ import Charter, Program
 from stoneyoke.control import Gateway
 from stoneyoke.interface import (
     Arrival, CallOut, CallOutEnded, Effect, FleetNews, Group, Listed, Method, Outcome, Plan, State,
@@ -224,17 +224,18 @@
         for part in (self.backend, self.counter, self.discovery):
             await part.__aenter__()
         self.list = {"index": 4, "snapshot": True, "endpoints": [entry("s-1", self.backend.text)]}
-        self.program = Program({
+        self.given = {
             "listen": "127.0.0.1:0", "discovery": self.discovery.text, "counter": self.counter.text,
-            "seed": "8c1f30d27a5be964", "limits": self.limits, "known": self.list, "settings": SETTINGS})
+            "seed": "8c1f30d27a5be964", "limits": self.limits, "known": self.list, "settings": SETTINGS}
+        self.program = Program(Charter(self.given))
         await self.program.start()
         self.address = self.program.server.sockets[0].getsockname()
         return self
 
     async def __aexit__(self, *_):
         self.program.server.close()
-        for task in self.program.tasks:
-            task.cancel()
+        self.program.discovery.end()
+        self.program.sweeping.cancel()
         for part in (self.backend, self.counter, self.discovery):
             await part.__aexit__()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import socket
 import subprocess
 import sys
@@ -516,10 +517,10 @@
             told_list(line_of("s-3", zone="hall-z"), index=44), None][len(at) - 1]
 
     async with StandIn(answer) as stand_in:
-        discovery = Discovery(Tally(), stand_in.address, lambda one: news.append(fleet.news(one)))
-        watching = asyncio.create_task(discovery.run())
+        discovery = Discovery(Tally(), lambda one: news.append(fleet.news(one)))
+        discovery.follow(stand_in.address)
         await until(lambda: len(at) == 4)
-        watching.cancel()
+        discovery.end()
     assert [x[0][0].split()[1] for x in stand_in.got] == [
         b"/v1/servers", b"/v1/servers?from=41&hold_ms=4000", b"/v1/servers?from=43&hold_ms=4000",
         b"/v1/servers?from=44&hold_ms=4000"]
@@ -544,9 +545,10 @@
         return [bad, told_list(line_of("s-1")), None][len(stand_in.got) - 1]
 
     async with StandIn(answer) as stand_in:
-        watching = asyncio.create_task(Discovery(Tally(), stand_in.address, news.append).run())
+        discovery = Discovery(Tally(), news.append)
+        discovery.follow(stand_in.address)
         await until(lambda: len(stand_in.got) == 3)
-        watching.cancel()
+        discovery.end()
     assert [len(one.entries) for one in news] == [1]
 
 
@@ -559,6 +561,56 @@
     assert not news.whole and news.left_out
 
 
+# ---- SIGHUP ----
+
+
+@pytest.mark.parametrize("unusable", ["{", None, {"counter": "x:y"}, {"settings": {}}])
+@on_loop
+async def test_a_reload_moves_discovery_and_counter_and_an_unusable_file_changes_nothing(
+        unusable, monkeypatch, tmp_path):
+    path, lines = tmp_path / "config.json", []
+    monkeypatch.setenv("NODE_CONFIG", str(path))
+    release = asyncio.Event()
+
+    async def late(_, writer):
+        await release.wait()
+        return OK
+
+    async def tell(request, _):
+        return json_answer(town.list) if b"hold_ms" not in request[0][0] else None
+
+    def reload(**changes):
+        path.write_text(json.dumps(town.given | changes))
+        town.program.reload()
+
+    async with (Town(late) as town, town.caller() as held, StandIn(tell) as list_2,
+                StandIn(total(b"7")) as count_2):
+        runtime, told = town.program.runtime, []
+        counted, runtime.counted = runtime.counted, lambda *answer: (told.append(answer), counted(*answer))
+        town.counter.answer = None
+        runtime.add_count(AddCount(1, 4_000_000, 2.0))
+        held.writer.write(rpc())
+        await until(lambda: town.backend.got and town.counter.got and len(town.discovery.got) == 2)
+        if unusable is None:
+            path.unlink(missing_ok=True)
+        else:
+            path.write_text(unusable if unusable == "{" else json.dumps(town.given | unusable))
+        sink = logger.add(lambda text: lines.append(text), format="{message}")
+        town.program.reload()
+        logger.remove(sink)
+        assert len(lines) == 1 and "old configuration stays" in lines[0]
+        assert len(town.program.discovery.watches) == 1 and len(town.program.counter.links) == 1
+        reload(discovery="127.0.0.1:1")  # nobody listens there: the old one is watched on
+        reload(discovery=list_2.text, counter=count_2.text)
+        await until(lambda: len(list_2.got) == 2 and town.discovery.closed == 1)
+        assert len(town.program.discovery.watches) == 1
+        runtime.add_count(AddCount(2, 4_000_000, 2.0))
+        await until(lambda: (2, 7.0) in told)
+        assert len(town.counter.got) == 1 and len(count_2.got) == 1
+        release.set()
+        assert (await held.hear())[2] == b"yes" and not town.program.tally.broken
+
+
 # ---- the runtime, counters and the program ----
 
 
@@ -664,6 +716,8 @@
                           stderr=subprocess.PIPE, text=True) as child:
         try:
             assert any("gateway 1 of 3 listens" in line for line in child.stderr)
+            child.send_signal(signal.SIGHUP)
+            assert any("reload: discovery at" in line for line in child.stderr)
             child.terminate()
             _, rest = child.communicate(timeout=15)
         finally:
