Strict heads and times for bad clients; spoilt answers and counts told apart; tables empty

An id that is open was taken. - clients.py, PART_US: 10 s, and nothing closed a connection that never spoke; 3 s are owed. Now 2 s from connecting or from a message's first byte. Silent connections pushed usual idle ones out at the limit: now each other. - clients.py, complain: read what poured in through the stream, in 16 KiB and a wake-up each; now thrown away in 256 KiB. - http.py: an answer framed by nothing but its stream's end was served; 101 in an answer made whole.pop() fail on an empty deque; a trailer could stand in for a head's field; a body in one-byte chunks was joined in quadratic time. - backends.py: bytes that wait behind an answer could have met the next RPC on that connection. - counter.py: float() took nan, inf and 1_0; a spoilt total was told as not added. - discovery.py: an index stayed for each name ever told; an address under a new id kept the old backend's. Ruled out: httptools refuses two lengths, a length beside chunks, signs in lengths, folded lines, by itself (probe).

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -21,7 +21,7 @@
 from stoneyoke.startup import BadStart, field, read_terms
 from stoneyoke.tally import Tally
 
-SWEEP_S = 1.0
+SWEEP_S = 0.25  # the shortest time-out that it ends, 2 s, has to be kept within 3
 WAITING = 1024  # connections that may wait to be accepted; the system cuts it down to what it allows
 OWN_DESCRIPTORS = 24  # standard streams, the loop's own, the listener, the counter's and discovery's
 LEAST_DESCRIPTORS = 80  # with fewer there is no use in starting
@@ -98,7 +98,8 @@
             self.counter = Counter(
                 self.clock, self.tally, self.runtime, charter.counter, charter.count_limit_us)
             self.runtime.add_count = self.counter.add
-        self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget)
+        self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget,
+                           self.runtime.knows)
         self.discovery = Discovery(self.tally, self.told)
 
     def told(self, news: News) -> None:
@@ -163,6 +164,7 @@
             await asyncio.sleep(SWEEP_S)
             self.backends.sweep()
             self.clients.sweep()
+            self.fleet.sweep()
 
 
 def main() -> int:
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from stoneyoke.interface import Outcome
-from stoneyoke.net.http import Line, Malformed, Message, Messages, connect, write_message
+from stoneyoke.net.http import Line, Malformed, Message, Messages, connect, unread, write_message
 from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
@@ -128,7 +128,9 @@
         while site.idle:
             link = site.idle.pop()
             link.line.on_bytes = link.line.on_close = None
-            if self.clock.now() - link.used_at < self.idle_us and not link.writer.is_closing():
+            # What has come behind its last answer and waits on the socket would pass for the next one.
+            if self.clock.now() - link.used_at < self.idle_us and not (
+                    link.writer.is_closing() or unread(link.writer)):
                 return link
             self.drop(link)
         return None
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -1,9 +1,7 @@
 """Clients' connections, and the life of one RPC."""
 
 import asyncio
-import fcntl
-import sys
-import termios
+import re
 from functools import partial
 from typing import cast
 
@@ -11,80 +9,107 @@
 
 from stoneyoke.interface import Abort, CallOut, Effect, Outcome, PushBack, Terms
 from stoneyoke.net.backends import Backends
-from stoneyoke.net.http import Line, Malformed, Message, Messages, status_line, write_message
+from stoneyoke.net.http import Line, Malformed, Message, Messages, status_line, unread, write_message
 from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held, Runtime
 from stoneyoke.tally import Tally
 
-LONGEST_S = 3600.0  # a deadline beyond this, or units or a spread beyond the next, are absurd
-MOST = 1e9
-HEX = b"0123456789abcdefABCDEF"
-PART_US = 10_000_000  # a head or body that has begun must be whole, and an answer be taken, within this
+LONGEST_S = 3600.0  # a deadline beyond this is absurd
+PLAIN = re.compile(rb"[0-9]{1,10}(\.[0-9]{1,10})?").fullmatch  # a number: no sign, blank, exponent or word
+WHOLE = re.compile(rb"[0-9]{1,10}").fullmatch
+HEX_16 = re.compile(rb"[0-9a-fA-F]{16}").fullmatch
+TOKEN = re.compile(rb"[!-~]{1,255}").fullmatch  # what passes on to a backend: seen bytes only
+TARGET = re.compile(rb"[!-~]+").fullmatch
+TEXT = re.compile(rb"[ -~]*").fullmatch
+ONCE = frozenset((b"host", b"req-id", b"req-kind", b"x-plan", b"x-customer", b"req-deadline", b"x-quota",
+                  b"idempotency-key", b"req-retry"))
+# The operators' page: whoever connects is owed an error or a close within 3 s, and a connection may be closed
+# 2 s after its last RPC. A message's time runs from its first byte, the first one's from the connection's.
+PART_US = 2_000_000
+IDLE_US = 5_000_000  # longer than a busy front leaves one unused; shorter only costs handshakes
+UNTAKEN_US = 10_000_000  # for how long an answer may wait to be taken
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
 LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
 LAST_CLIENTS_S = 0.7  # the protocol page: what comes up to here after SIGTERM is still owed an answer
 
 
 class Names:
-    """The names of methods and plans, as they stand in heads."""
+    """What a head can name: methods, plans, and gateways by their number."""
 
     def __init__(self, methods: list[str], plans: list[str], terms: Terms) -> None:
         self.methods = {name.encode(): at for at, name in enumerate(methods)}
         self.plans = {name.encode(): at for at, name in enumerate(plans)}
-        self.with_key = {at for at, m in enumerate(terms.methods) if m.effect is Effect.DEDUPLICATED}
+        self.effects = [method.effect for method in terms.methods]
+        self.gateways, self.units_top = terms.gateways, terms.units_top
 
 
 class Asked:
     """What an RPC's head says, read and checked."""
 
-    __slots__ = ("account", "method", "plan", "units", "wait_us", "width")
+    __slots__ = ("account", "id", "method", "plan", "units", "wait_us", "width")
 
     def __init__(self, message: Message, names: Names) -> None:
+        if message.repeated and (twice := message.repeated & ONCE):
+            raise Malformed(f"{min(twice).decode()} comes twice")
         kind, plan = needed(message, b"req-kind"), needed(message, b"x-plan")
         method, at = names.methods.get(kind), names.plans.get(plan)
         if method is None:
             raise Malformed(f"unknown method {kind[:40]!r}", 404)
         if at is None:
             raise Malformed(f"unknown plan {plan[:40]!r}")
-        if message.target.partition(b"?")[0].split(b"/", 2)[:2] != [b"", kind]:
+        path = message.target.partition(b"?")[0]
+        if not path.startswith(b"/") or path.split(b"/", 2)[1] != kind or not TARGET(message.target):
             raise Malformed(f"a path that is not one of {kind[:40]!r}")
-        if message.method not in (b"GET", b"POST"):
+        effect = names.effects[method]
+        if message.method != (b"GET" if effect is Effect.IDEMPOTENT else b"POST"):
             raise Malformed(f"{message.method[:20]!r} is not taken", 405)
-        needed(message, b"req-id")
-        if method in names.with_key:
+        if message.body and effect is Effect.IDEMPOTENT:
+            raise Malformed("a body where none belongs")
+        self.id = needed(message, b"req-id")
+        needed(message, b"host")
+        if effect is Effect.DEDUPLICATED:
             needed(message, b"idempotency-key")
-        customer, quota = needed(message, b"x-customer"), needed(message, b"x-quota")
-        try:
-            self.account, wait_s = int(customer, 16), float(needed(message, b"req-deadline"))
-            parts = dict(part.split(b"=", 1) for part in quota.split(b","))
-            self.units, self.width = float(parts[b"units"]), float(parts[b"spread"])
-            first = int(parts[b"first"])
-        except (ValueError, KeyError) as bad:
-            raise Malformed(f"a field that can't be read: {bad}") from bad
-        if customer.strip(HEX) or len(customer) != 16 or self.account >= 1 << 33:
+        customer, wait = needed(message, b"x-customer"), needed(message, b"req-deadline")
+        if not HEX_16(customer) or (account := int(customer, 16)) >= 1 << 33:
             raise Malformed("x-customer is no 16 hex digits under 2^33")
-        if not 0 <= wait_s <= LONGEST_S:
-            raise Malformed(f"absurd deadline {wait_s}")
-        if not (0 < self.units <= MOST and 1 <= self.width <= MOST and 0 <= first <= MOST):
-            raise Malformed(f"absurd quota {quota[:60]!r}")
-        self.method, self.plan, self.wait_us = method, at, int(wait_s * 1_000_000)
+        if not PLAIN(wait) or float(wait) > LONGEST_S:
+            raise Malformed(f"a deadline that is none: {wait[:40]!r}")
+        self.units, self.width = quota(needed(message, b"x-quota"), names)
+        self.account, self.method, self.plan, self.wait_us = account, method, at, int(float(wait) * 1_000_000)
 
 
 def needed(message: Message, name: bytes) -> bytes:
     value = message.headers.get(name)
-    if not value or name in message.repeated:
-        raise Malformed(f"{name.decode()} {'comes twice' if value else 'is missing'}")
+    if not value or not TOKEN(value):
+        raise Malformed(f"{name.decode()} {'can not be read' if value else 'is missing'}")
     return value
 
 
+def quota(text: bytes, names: Names) -> tuple[float, float]:
+    """Units and spread, in the one form that the protocol page gives."""
+    parts = [part.partition(b"=") for part in text.split(b",")]
+    fields = {name: value for name, _, value in parts}
+    if len(parts) == 3 and fields.keys() == {b"units", b"spread", b"first"} and (
+            PLAIN(fields[b"units"]) and WHOLE(fields[b"spread"]) and WHOLE(fields[b"first"])):
+        units, spread, first = float(fields[b"units"]), int(fields[b"spread"]), int(fields[b"first"])
+        if 0 < units <= (names.units_top or units) and 1 <= spread <= names.gateways > first:
+            return units, float(spread)
+    raise Malformed(f"no quota of these settings: {text[:60]!r}")
+
+
 class Client:
     """One client's connection."""
 
-    def __init__(self, writer: asyncio.StreamWriter, messages: Messages, now: int) -> None:
-        self.writer, self.messages = writer, messages
+    def __init__(self, line: Line, writer: asyncio.StreamWriter, now: int) -> None:
+        self.line, self.writer = line, writer
+        self.messages = Messages(line.reader, answers=False)
+        self.met = now
         self.since = now  # when it fell idle, or when its message, or the writing of its answer, began
+        self.ahead = 0  # while an answer is owed: when the first byte beyond its message came
         self.idle = True  # nothing of a message has come, nothing is owed
+        self.fresh = True  # no message has come whole yet
         self.whole = False  # a message of it is, and not yet answered to the last byte
+        self.over = False  # it has had its last answer; what still comes is thrown away
         self.held: Held | None = None
         self.gone = False
 
@@ -93,10 +118,11 @@
 
     def quiet(self) -> bool:
         """No whole message has come and no byte waits to be read: closing it loses no RPC."""
+        if self.over:
+            return True
         if self.whole or not self.messages.hungry or self.writer.is_closing():
             return False
-        count = fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
-        return int.from_bytes(count, sys.byteorder) == 0
+        return not unread(self.writer)
 
 
 class Clients:
@@ -104,8 +130,11 @@
                  slack_us: int, room: Room) -> None:
         self.clock, self.tally, self.runtime, self.backends = clock, tally, runtime, backends
         self.names, self.slack_us, self.room = names, slack_us, room
+        self.fresh_most = max(1, room.most // 3)
         room.victims.append(self.idle_longest)
         self.open: dict[asyncio.StreamWriter, Client] = {}  # emptied as connections close
+        self.fresh: dict[Client, None] = {}  # the oldest first; emptied by a first whole message or a close
+        self.ids: set[bytes] = set()  # of RPCs that are held; emptied as they are let go
         self.ending = False
 
     def line(self) -> Line:
@@ -115,16 +144,21 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """A client's connection, from its first byte to its last."""
         line = cast(Line, writer.transport.get_protocol())
+        if len(self.fresh) >= self.fresh_most:  # those that say nothing go first, whoever else is idle
+            if silent := next((client for client in self.fresh if client.quiet()), None):
+                self.close_for_room(silent)
         if not self.room.take(spare=True):
             self.tally.add("connections of clients: no descriptor left")
             return writer.transport.abort()
-        messages = Messages(reader, answers=False)
-        client = self.open[writer] = Client(writer, messages, self.runtime.came())
+        client = self.open[writer] = Client(line, writer, self.runtime.came())
+        self.fresh[client] = None
 
         def came() -> None:
-            messages.hungry = False
+            client.messages.hungry = False
             if client.idle:
                 client.idle, client.since = False, self.runtime.came()
+            elif client.whole and not client.ahead:
+                client.ahead = self.runtime.came()
 
         def gone() -> None:
             client.gone = True
@@ -134,17 +168,19 @@
         self.tally.add("connections of clients")
         line.on_bytes, line.on_close = came, gone
         try:
-            while message := await messages.next():
-                client.whole = True
+            while message := await client.messages.next():
+                client.whole, client.fresh = True, False
+                self.fresh.pop(client, None)
                 await self.answer(client, message)
                 if writer.transport.get_write_buffer_size():
                     client.since = self.clock.now()
                     await writer.drain()
                 if self.ending or not message.keeps or writer.is_closing():
                     break
-                client.whole, client.idle, client.since = False, not messages.pending(), self.clock.now()
+                client.whole, client.idle = False, not client.ahead and not client.messages.pending()
+                client.since, client.ahead = client.ahead or self.clock.now(), 0
         except Malformed as bad:
-            await self.complain(client, bad, reader)
+            await self.complain(client, bad)
         except OSError:
             self.tally.add("connections of clients: broken")
         except asyncio.CancelledError:  # the program ends
@@ -155,22 +191,27 @@
         finally:
             line.on_bytes = line.on_close = None
             del self.open[writer]
+            self.fresh.pop(client, None)
             self.room.free()
             writer.close()
 
-    async def complain(self, client: Client, bad: Malformed, reader: asyncio.StreamReader) -> None:
-        """A plain 4xx. Closing at once would reset it away where more of the message is still on its way."""
+    async def complain(self, client: Client, bad: Malformed) -> None:
+        """A plain 4xx or 5xx. Closing at once would reset it away where more is still on its way."""
         self.tally.report(f"bad input: {bad.status}", str(bad))
         body = str(bad).encode()[:200] + b"\n"
         more = b"Content-Type: text/plain\r\nConnection: close\r\nContent-Length: %d\r\n" % len(body)
         write_message(client.writer, [status_line(bad.status), more], body)
-        client.since = self.clock.now()
+        client.since, client.over, client.whole = self.clock.now(), True, False
+        self.fresh.pop(client, None)
+        ended = asyncio.Event()
+        client.line.on_close = ended.set
+        client.line.deafen()
         try:
             async with asyncio.timeout(LINGER_S):
                 await client.writer.drain()
                 client.writer.write_eof()
-                while await reader.read(65_536):
-                    pass
+                if not client.gone:
+                    await ended.wait()
         except OSError:
             client.writer.transport.abort()
 
@@ -193,6 +234,9 @@
         await self.runtime.catch_up()
         if client.gone:
             return 0, b"", b""
+        if asked.id in self.ids:
+            raise Malformed(f"{asked.id[:40]!r} is open already", 409)
+        self.ids.add(asked.id)
         until = client.since + asked.wait_us
         give_up_at = until - self.slack_us  # so that the answer is there when the client's time is up
         self.tally.add("RPCs")
@@ -217,34 +261,50 @@
                         self.runtime.call_out_ended(held, n, backend, outcome)
                         if outcome is Outcome.OK and answer and not held.gone:
                             self.tally.add("RPCs: ok")
-                            kind = answer.headers.get(b"content-type")
-                            return 200, answer.body, b"Content-Type: %s\r\n" % kind if kind else b""
+                            kind = answer.headers.get(b"content-type", b"")
+                            more = b"Content-Type: %s\r\n" % kind if kind and TEXT(kind) else b""
+                            return 200, answer.body, more
                     case wish:
                         self.tally.must(isinstance(wish, Abort), "RPC without an answer from the module")
                         self.tally.add("RPCs: aborted")
                         return 502, b"", b""
         finally:
             client.held = None
+            self.ids.discard(asked.id)
             self.runtime.let_go(held)
 
     def idle_longest(self) -> Victim | None:
-        """Idle, else half way; never one on which an answer is owed."""
-        for client in sorted(self.open.values(), key=lambda c: (not c.idle, c.since)):
+        """Done with, else idle, else half way; never one on which an answer is owed."""
+        for client in sorted(self.open.values(), key=lambda c: (not c.over, not c.idle, c.since)):
             if client.quiet():
-                return not client.idle, client.since, partial(self.close_for_room, client)
+                return not (client.idle or client.over), client.since, partial(self.close_for_room, client)
         return None
 
     def close_for_room(self, client: Client) -> None:
         self.tally.add("connections of clients: closed for room")
+        self.fresh.pop(client, None)
         client.writer.transport.abort()
 
     def sweep(self) -> None:
-        """Ends what is stuck half way: heads and bodies that don't come, answers that nobody takes."""
-        late = self.clock.now() - PART_US
+        """Ends what has been idle for long or is stuck half way: messages that don't come, answers that
+        nobody takes. Called several times a second."""
+        now = self.clock.now()
         for client in list(self.open.values()):
-            if not client.idle and client.held is None and client.since < late:
+            age = now - (client.met if client.fresh else client.since)
+            if client.over or client.held or age < PART_US:
+                continue
+            if client.whole:
+                if age >= UNTAKEN_US:
+                    self.tally.add("connections of clients: stuck")
+                    client.writer.transport.abort()
+            elif client.idle:
+                if (client.fresh or age >= IDLE_US) and client.quiet():
+                    self.tally.add("connections of clients: closed as idle")
+                    client.writer.transport.abort()
+            elif client.quiet():
                 self.tally.add("connections of clients: stuck")
-                client.writer.transport.abort()
+                client.line.deafen()
+                client.messages.stop(Malformed("a message that does not come whole", 408))
 
     async def take_late(self) -> None:
         """After SIGTERM: goes on as if nothing were while clients still come, then closes what is idle."""
--- a/stoneyoke/net/counter.py
+++ b/stoneyoke/net/counter.py
@@ -1,6 +1,8 @@
 """Calls to the counter: pipelined, answered in order, given up after the settings' limit."""
 
 import asyncio
+import math
+import re
 from collections import deque
 
 from stoneyoke.interface import AddCount
@@ -10,6 +12,7 @@
 
 MOST_LINKS = 4  # of the 32 that the protocol page has the counter hold; those gone silent are replaced
 IDLE_US = 5_000_000  # the protocol page: closed after 10 s or less; none is written to beyond this
+NUMBER = re.compile(rb"-?[0-9]{1,20}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?").fullmatch
 SILENT_US = 1_000_000  # a connection whose oldest call has waited for this long is closed
 
 
@@ -88,10 +91,14 @@
         return link
 
     def give_up(self, call: Call) -> None:
+        self.answer(call, "no answer in time", None)
+
+    def answer(self, call: Call, ending: str, total: float | None) -> None:
+        """Tells of a call's end, once. None: perhaps not added; nan: added, to what is not known."""
         if not call.done:
             call.done = True
-            self.tally.add("counter calls: no answer in time")
-            self.runtime.counted(call.name, None)
+            self.tally.add(f"counter calls: {ending}")
+            self.runtime.counted(call.name, total)
 
     def end(self, link: Link) -> None:
         """Calls still out on it are given up on as their own time comes."""
@@ -114,27 +121,21 @@
             while answer := await answers.next():
                 if not link.calls:
                     raise Malformed("an answer to no call")
-                call, total = link.calls.popleft(), None
+                if answer.status == 200 and not NUMBER(answer.body):
+                    raise Malformed(f"a total that is no number: {answer.body[:40]!r}")
                 if answer.status == 200:
-                    try:
-                        total = float(answer.body)
-                    except ValueError:
-                        raise Malformed(f"a total that is no number: {answer.body[:40]!r}") from None
-                if not call.done:
-                    call.done = True
-                    ending = "turned away" if total is None else "answered"
-                    self.tally.add(f"counter calls: {ending}")
-                    self.runtime.counted(call.name, total)
+                    self.answer(link.calls.popleft(), "answered", float(answer.body))
+                else:
+                    self.answer(link.calls.popleft(), "turned away", None)
                 if not answer.keeps or not link.calls and link not in self.links:
                     break
         except OSError:
             self.tally.add("counter: connections lost")
         except Malformed as bad:
             self.tally.report("counter: malformed answers", str(bad))
+            if link.calls:  # it was carried out, and its total can't be read
+                self.answer(link.calls.popleft(), "answered unreadably", math.nan)
         finally:
             self.end(link)
             for call in link.calls:
-                if not call.done:
-                    call.done = True
-                    self.tally.add("counter calls: connection lost")
-                    self.runtime.counted(call.name, None)
+                self.answer(call, "connection lost", None)
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -25,12 +25,12 @@
         try:
             self.name, self.state = str(row["name"]), STATES[row["status"]]
             host, port = str(row.get("address") or ":0").rsplit(":", 1)
-            self.address = (host.strip("[]"), int(port)) if host else None
+            self.address = (host.strip("[]"), int(port))
             self.zone, self.cell = str(row.get("zone", "")), max(0, int(row.get("group", 0)))
             self.started_us = max(0, int(row.get("since_ms", 0))) * 1000
         except (KeyError, TypeError, ValueError, AttributeError) as bad:
             raise Malformed(f"an entry that can't be used: {row!r}") from bad
-        if self.state is not State.GONE and not self.address:
+        if self.state is not State.GONE and not host:
             raise Malformed(f"an entry without an address: {row!r}")
 
 
@@ -127,23 +127,51 @@
     """Turns discovery's names into the module's indices and keeps the addresses in step."""
 
     def __init__(self, zones: list[str], place: Callable[[int, tuple[str, int]], None],
-                 forget: Callable[[int], None]) -> None:
-        self.zones, self.place, self.forget = zones, place, forget
-        self.door = Door[str]()  # as large as the number of names that discovery has ever told
+                 forget: Callable[[int], None], known: Callable[[int], bool]) -> None:
+        self.zones, self.place, self.forget, self.known = zones, place, forget, known
+        self.door = Door[str]()  # emptied by sweep()
+        self.where: dict[str, tuple[str, int]] = {}  # emptied, as is the next, by lose()
+        self.holders: dict[tuple[str, int], Entry] = {}  # who is reached there
 
     def news(self, news: News) -> FleetNews:
+        listed: dict[str, Listed] = {}
         if news.whole:
-            kept = {entry.name for entry in news.entries}
-            for name, backend in self.door.index.items():
-                if name not in kept:
-                    self.forget(backend)
-        listed = []
+            for name in self.where.keys() - {entry.name for entry in news.entries}:
+                self.lose(name)
         for entry in news.entries:
-            backend = self.door.enter(entry.name)
-            if entry.address and entry.state is not State.GONE:
-                self.place(backend, entry.address)
-            elif entry.state is State.GONE:
-                self.forget(backend)
-            zone = self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones)
-            listed.append(Listed(backend, zone, entry.cell, entry.started_us, entry.state))
-        return FleetNews(news.whole, False, listed)
+            # One address, one backend: whoever started there last, and a ready one before one that leaves.
+            if entry.state is not State.GONE and (holder := self.holders.get(entry.address)) and (
+                    holder.name != entry.name):
+                if (entry.state is not State.READY, -entry.started_us) > (
+                        holder.state is not State.READY, -holder.started_us):
+                    entry.state = State.GONE
+                else:
+                    holder.state = State.GONE
+                    listed[holder.name] = self.listed(holder)
+            if entry.state is State.GONE:
+                if entry.name in self.door.index:
+                    listed[entry.name] = self.listed(entry)
+                continue
+            if self.where.get(entry.name) != entry.address:
+                self.lose(entry.name)
+            self.where[entry.name], self.holders[entry.address] = entry.address, entry
+            self.place(self.door.enter(entry.name), entry.address)
+            listed[entry.name] = self.listed(entry)
+        return FleetNews(news.whole, False, list(listed.values()))
+
+    def listed(self, entry: Entry) -> Listed:
+        if entry.state is State.GONE:
+            self.lose(entry.name)
+        zone = self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones)
+        return Listed(self.door.index[entry.name], zone, entry.cell, entry.started_us, entry.state)
+
+    def lose(self, name: str) -> None:
+        if address := self.where.pop(name, None):
+            del self.holders[address]
+            self.forget(self.door.index[name])
+
+    def sweep(self) -> None:
+        """The index of a backend that is gone may pass on once the module has dropped it."""
+        for name, backend in list(self.door.index.items()):
+            if name not in self.where and not self.known(backend):
+                self.door.leave(backend)
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -1,6 +1,9 @@
 """HTTP/1.1 heads and bodies over asyncio streams: httptools parses them in place, writes are gathered."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
@@ -10,7 +13,9 @@
 
 BODY_TOP = 65_536  # the protocol page: a body holds no more than 64 KiB
 HEAD_TOP = 16_384  # bytes of a head; the largest of the protocol page holds some 500
+MESSAGE_TOP = 5 * BODY_TOP  # bytes of a message with its framing: chunks may be small, not without end
 PIECE = 16_384  # bytes read at once; a stream stops reading at twice that, so that no peer fills the memory
+WASTE = 262_144  # the same for what is only thrown away: 60 MB in 240 reads
 
 Met = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[None, None, None]]
 
@@ -31,9 +36,16 @@
         super().__init__(self.reader, met)
         self.on_bytes: Callable[[], None] | None = None
         self.on_close: Callable[[], None] | None = None
+        self.deaf = False  # what comes is thrown away
+
+    def deafen(self) -> None:
+        self.deaf, self.on_bytes = True, None
+        self.transport.max_size = WASTE
+        self.transport.resume_reading()
 
     def connection_made(self, transport: Any) -> None:
         # asyncio would set aside 256 KiB for each read; drain() is to wait for the last byte to leave.
+        self.transport = transport
         transport.max_size = PIECE
         transport.set_write_buffer_limits(high=0)
         super().connection_made(transport)
@@ -41,7 +53,8 @@
     def data_received(self, data: bytes) -> None:
         if self.on_bytes:
             self.on_bytes()
-        super().data_received(data)
+        if not self.deaf:
+            super().data_received(data)
 
     def eof_received(self) -> bool | None:
         if self.on_close:
@@ -62,6 +75,12 @@
     return line, asyncio.StreamWriter(transport, line, line.reader, loop)
 
 
+def unread(writer: asyncio.StreamWriter) -> bool:
+    """Whether bytes wait on the socket that the loop has not seen yet."""
+    count = fcntl.ioctl(writer.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(count, sys.byteorder) != 0
+
+
 class Message:
     """A message: its first line's parts, its headers by lower-case name, its body."""
 
@@ -69,7 +88,7 @@
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
-        self.repeated: tuple[bytes, ...] = ()
+        self.repeated: set[bytes] = set()
         self.method = self.target = self.body = b""
         self.status = 0
         self.keeps = True  # the connection can carry another
@@ -85,7 +104,8 @@
         self.whole: deque[Message] = deque()  # no more than one piece read can hold
         self.begun: Message | None = None
         self.in_head = False
-        self.size = 0  # bytes of the head, then of the body, that is being read
+        self.size = self.raw = 0  # bytes of the head, then of the body, that is being read; and of it all
+        self.parts: list[bytes] = []  # of that body
         self.fault: Malformed | None = None
         # All that has come is taken in and makes no message yet. Whoever is told of bytes first unsets it.
         self.hungry = False
@@ -99,34 +119,35 @@
             self.hungry = True
             data = await self.reader.read(PIECE)
             self.hungry = False
+            if self.fault:
+                raise self.fault
             if not data:
-                return self.end()
+                if self.begun:  # what only this end would frame may have been cut short as well
+                    raise ConnectionResetError("the stream ended within a message")
+                return None
             if self.in_head or not self.begun:
                 self.size += len(data)
+            self.raw += len(data)
             try:
                 self.parser.feed_data(data)
             except httptools.HttpParserUpgrade:
-                self.whole.pop()  # the one that asked for it
-                self.fault = Malformed("the connection was to change its protocol")
+                pass  # on_headers_complete() has made it a fault
             except httptools.HttpParserError as bad:
                 self.fault = self.fault or Malformed(f"no HTTP/1.1: {bad}")
             if self.in_head and self.size > HEAD_TOP:
                 self.fault = self.fault or Malformed("head over 16 KiB", 431)
+            elif self.raw > MESSAGE_TOP:
+                self.fault = self.fault or Malformed("a message without end", 413)
         return self.whole.popleft()
 
     def pending(self) -> bool:
         """Whether anything beyond the last message has come already."""
         return bool(self.whole or self.begun or self.fault)
 
-    def end(self) -> Message | None:
-        message = self.begun
-        if message is None:
-            return None
-        framed = b"content-length" in message.headers or b"transfer-encoding" in message.headers
-        if self.in_head or framed or not self.answers:
-            raise ConnectionResetError("the stream ended within a message")
-        self.begun, message.keeps = None, False  # an answer without framing lasts as long as its stream
-        return message
+    def stop(self, fault: Malformed) -> None:
+        """Whoever waits for the rest of a message waits no longer."""
+        self.fault = fault
+        self.reader.feed_eof()
 
     # ---- what the parser tells ----
 
@@ -138,37 +159,56 @@
             self.begun.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.begun:
+        if not self.in_head:  # after a body in chunks: counted with it, and of no meaning here
+            self.size += len(name) + len(value)
+        elif self.begun:
             name = name.lower()
-            if not self.in_head:  # after a body in chunks: counted with it
-                self.size += len(name) + len(value)
             if name in self.begun.headers:
-                self.begun.repeated += (name,)
+                self.begun.repeated.add(name)
             self.begun.headers[name] = value
 
     def on_headers_complete(self) -> None:
         self.in_head, self.size = False, 0
-        if not self.begun:
-            return
+        if message := self.begun:
+            self.fault = self.fault or self.check(message)
+
+    def check(self, message: Message) -> Malformed | None:
+        """A head alone can show that its message is of no use. Two lengths, a length beside chunks, and
+        lengths that are no plain numbers are the parser's to refuse."""
+        coding, length = (message.headers.get(name) for name in (b"transfer-encoding", b"content-length"))
+        if self.parser.should_upgrade():
+            return Malformed("the connection was to change its protocol")
+        if coding is not None and coding.lower() != b"chunked":
+            return Malformed("a transfer coding that is not known", 501)
+        if length is not None and int(length) > BODY_TOP:
+            return Malformed("body over 64 KiB", 413)
         if self.answers:
-            self.begun.status = self.parser.get_status_code()
+            message.status = self.parser.get_status_code()
+            if coding is length is None and message.status >= 200 and message.status not in (204, 304):
+                return Malformed("an answer without framing")
         else:
-            self.begun.method = self.parser.get_method()
-            if b"expect" in self.begun.headers:
-                self.fault = self.fault or Malformed("no expectations are met here", 417)
+            message.method = self.parser.get_method()
+            if self.parser.get_http_version() != "1.1":
+                return Malformed("not HTTP/1.1", 505)
+            if b"expect" in message.headers:
+                return Malformed("no expectations are met here", 417)
+        return None
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
         if self.size > BODY_TOP:
             self.fault = self.fault or Malformed("body over 64 KiB", 413)
-        elif self.begun:
-            self.begun.body = self.begun.body + part if self.begun.body else part
+        elif not self.fault:
+            self.parts.append(part)
 
     def on_message_complete(self) -> None:
         message, self.begun, self.size = self.begun, None, 0
         if message and not self.fault and (not self.answers or message.status >= 200):
+            message.body = b"".join(self.parts)
             message.keeps = self.parser.should_keep_alive()
             self.whole.append(message)
+            self.raw = 0
+        self.parts.clear()
 
 
 def write_message(writer: asyncio.StreamWriter, head: list[bytes], body: bytes) -> None:
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -147,6 +147,9 @@
     def counted(self, name: int, total: float | None) -> None:
         self.tell(CountAnswer(name, total is not None, total or 0.0))
 
+    def knows(self, backend: int) -> bool:
+        return backend in self.gateway.backends
+
     def listed(self, news: FleetNews) -> None:
         self.tell(news)
 
