A cut connection makes no backend cold; idempotent RPCs go on anywhere; counter calls go apart

Checked: the module's reasons for giving up were counted by the second. Logged errors: of 37 only 7 were refused connects; 30 were resets of new ones by backends that went on answering on others. - A connection that broke, or was refused while others to that backend are up, is now 'cut': never ran, a failure, no death. - An idempotent RPC that may have run was kept to its first backend's cell (rpc(): home was set for all methods): up to 2.4% of utility was given up with two to six other backends usable. Only deduplicated ones are bound. - All counter calls shared one connection, whose reset took seven calls along on the mean (333 lost by 46 resets): now each goes where none is out, six connections at most; and a call lost so is no sign of a crowded counter. Ruled out: CPU (0.2 of 0.48 cores in the worst second).

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -25,7 +25,7 @@
 
 SECOND = 1_000_000
 BEAT = 50_000  # the one timer: 20 a second is fine enough for every look below and costs little
-PROVEN_UNRUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
+PROVEN_UNRUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.CUT, Outcome.NOT_SENT)
 STILL_OUT = None  # what an RPC is resumed with when its call-out has been out for the asked time
 
 Rpc = Generator[Action | int, CallOutEnded | None, None]
@@ -220,7 +220,7 @@
                 customer.store.level -= call.units if customer.plan.rate > 0 else 0.0
                 customer.ceiling.level -= call.units if customer.plan.ceiling_rate > 0 else 0.0
             if unrun:
-                home, first_at = backend, self.now
+                home, first_at = backend if method.effect is Effect.DEDUPLICATED else None, self.now
             tried.add(backend.index)
             result = yield CallOut(call.rpc, backend.index, 0)
             while result is STILL_OUT:
@@ -374,8 +374,9 @@
     def counted(self, answer: CountAnswer) -> None:
         self.misses = 0 if answer.added else self.misses + 1
         self.counter_heard = self.now if answer.added else self.counter_heard
-        # A crowded counter: fewer calls, in balance at one in six lost; slower steps (0.002, 0.02) lagged.
-        self.reading = min(1.0, self.reading + 0.01) if answer.added else max(0.1, self.reading - 0.05)
+        # A crowded counter: fewer calls, in balance at one in six; one lost with its link (nan) is none.
+        self.reading += 0.01 if answer.added or math.isnan(answer.total) else -0.05
+        self.reading = max(0.1, min(1.0, self.reading))
         call = self.reads.pop(answer.name, None)  # none: the answer to an addition
         customer = self.customers.get(call.customer) if call else None
         if not call or not customer or not answer.added or not math.isfinite(answer.total):
@@ -448,8 +449,7 @@
         fleet = sorted(ready, key=lambda b: (b.zone, b.index))
         if not fleet:
             return self.order.clear()
-        means = sum(m.mean for m in self.methods) / len(self.methods)
-        rest, fade = 0.98**steps, 0.95**steps
+        means, rest, fade = sum(m.mean for m in self.methods) / len(self.methods), 0.98**steps, 0.95**steps
         for backend in fleet:
             quiet = (self.now - backend.quiet_since) / means / 2 if backend.out else 0.01
             backend.shown = max(backend.pace, quiet)
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -22,7 +22,7 @@
 
 
 class Outcome(Enum):
-    """How a call-out ended. The first five may have run; the last three never did."""
+    """How a call-out ended. The first five may have run; the last four never did."""
 
     OK = "ok"
     ERROR = "error"
@@ -30,7 +30,8 @@
     BROKEN = "broken"
     CALLED_OFF = "called off"
     TURNED_AWAY = "turned away"
-    NO_CONNECTION = "no connection"
+    NO_CONNECTION = "no connection"  # nobody took one: the backend may be gone
+    CUT = "cut"  # broke before the last byte, or was not taken though others to this backend stay open
     NOT_SENT = "not sent"
 
 
@@ -125,7 +126,7 @@
 class CountAnswer:
     name: int
     added: bool
-    total: float
+    total: float  # nan: not known; without added: the call was lost with its connection
 
 
 @dataclass(slots=True)
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -32,6 +32,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.idle: deque[Link] = deque()
+        self.busy = 0  # connections with a call-out on them
 
 
 class Backends:
@@ -87,26 +88,31 @@
                         self.tally.add("call-outs: no descriptor left")
                         return Outcome.NOT_SENT, None
                     link = await self.connect(site)
+                site.busy += 1
                 write_message(link.writer, head, body)
                 if link.writer.transport.get_write_buffer_size():
                     await link.writer.drain()
                 if link.writer.transport.is_closing():
-                    return Outcome.NO_CONNECTION, None
+                    return Outcome.CUT, None
                 whole = True
                 answer = await link.answers.next()
         except TimeoutError:
-            if scope.expired():
-                if not whole:
-                    return Outcome.NOT_SENT, None
-                return (Outcome.CALLED_OFF if called_off else Outcome.TIMED_OUT), None
-            return (Outcome.BROKEN if whole else Outcome.NO_CONNECTION), None
+            if not scope.expired():
+                return Outcome.NO_CONNECTION, None
+            if not whole:
+                return Outcome.NOT_SENT, None
+            return (Outcome.CALLED_OFF if called_off else Outcome.TIMED_OUT), None
         except OSError:
-            return (Outcome.BROKEN if whole else Outcome.NO_CONNECTION), None
+            if whole:
+                return Outcome.BROKEN, None
+            # With a process all its connections go. As long as one is up, only this one was refused or cut.
+            return (Outcome.CUT if link or site.idle or site.busy else Outcome.NO_CONNECTION), None
         except Malformed as bad:
             self.tally.report("answers of backends: malformed", f"{site.address}: {bad}")
             return Outcome.BROKEN, None
         finally:
             held.stop = None
+            site.busy -= link is not None
             if link and answer and answer.keeps and not link.answers.pending() and (
                     self.sites.get(backend) is site):
                 self.put_back(site, link)
--- a/stoneyoke/net/counter.py
+++ b/stoneyoke/net/counter.py
@@ -10,7 +10,9 @@
 from stoneyoke.runtime import Clock, Runtime
 from stoneyoke.tally import Tally
 
-MOST_LINKS = 4  # of the 32 that the protocol page has the counter hold; those gone silent are replaced
+# Of the 32 that the protocol page has the counter hold. A call goes where none is out, if it can: whatever
+# ends a connection takes all calls on it along. Those gone silent are replaced.
+MOST_LINKS = 6
 IDLE_US = 5_000_000  # the protocol page: closed after 10 s or less; none is written to beyond this
 NUMBER = re.compile(rb"-?[0-9]{1,20}(\.[0-9]{1,20})?([eE][+-]?[0-9]{1,2})?").fullmatch
 SILENT_US = 1_000_000  # a connection whose oldest call has waited for this long is closed
@@ -73,15 +75,19 @@
         asyncio.get_running_loop().call_later(self.limit_us / 1_000_000, self.give_up, call)
 
     def pick(self, now: int) -> Link:
-        """A connection none of whose calls is overdue; else a new one, in place of the one silent longest."""
+        """A connection without calls; else a new one; at the limit one whose calls are not overdue, or a new
+        one in place of the one silent longest."""
         for link in list(self.links):
             if not link.calls and now - link.used_at > IDLE_US or (
                     link.calls and now - link.calls[0].at > SILENT_US):
                 self.end(link)
-        for link in self.links:
-            if not link.calls or now - link.calls[0].at <= self.limit_us:
-                return link
+        free = min(self.links, key=lambda one: len(one.calls), default=None)
+        if free and not free.calls:
+            return free
         if len(self.links) >= MOST_LINKS:
+            prompt = [one for one in self.links if now - one.calls[0].at <= self.limit_us]
+            if prompt:
+                return min(prompt, key=lambda one: len(one.calls))
             self.end(min(self.links, key=lambda one: one.calls[0].at))
         link = Link(self.address)
         self.links.append(link)
@@ -91,14 +97,15 @@
         return link
 
     def give_up(self, call: Call) -> None:
-        self.answer(call, "no answer in time", None)
+        self.answer(call, "no answer in time", False)
 
-    def answer(self, call: Call, ending: str, total: float | None) -> None:
-        """Tells of a call's end, once. None: perhaps not added; nan: added, to what is not known."""
+    def answer(self, call: Call, ending: str, added: bool, total: float = 0.0) -> None:
+        """Tells of a call's end, once. A total of nan, added: to what is not known; not added: its connection
+        broke, which says nothing of the counter."""
         if not call.done:
             call.done = True
             self.tally.add(f"counter calls: {ending}")
-            self.runtime.counted(call.name, total)
+            self.runtime.counted(call.name, added, total)
 
     def end(self, link: Link) -> None:
         """Calls still out on it are given up on as their own time comes."""
@@ -124,9 +131,9 @@
                 if answer.status == 200 and not NUMBER(answer.body):
                     raise Malformed(f"a total that is no number: {answer.body[:40]!r}")
                 if answer.status == 200:
-                    self.answer(link.calls.popleft(), "answered", float(answer.body))
+                    self.answer(link.calls.popleft(), "answered", True, float(answer.body))
                 else:
-                    self.answer(link.calls.popleft(), "turned away", None)
+                    self.answer(link.calls.popleft(), "turned away", False)
                 if not answer.keeps or not link.calls and link not in self.links:
                     break
         except OSError:
@@ -134,8 +141,8 @@
         except Malformed as bad:
             self.tally.report("counter: malformed answers", str(bad))
             if link.calls:  # it was carried out, and its total can't be read
-                self.answer(link.calls.popleft(), "answered unreadably", math.nan)
+                self.answer(link.calls.popleft(), "answered unreadably", True, math.nan)
         finally:
             self.end(link)
             for call in link.calls:
-                self.answer(call, "connection lost", None)
+                self.answer(call, "connection lost", False, math.nan if link.writer else 0.0)
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -144,8 +144,8 @@
         self.held.pop(held.index, None)
         self.tally.must(held.gone or not self.gateway.holds(held.index), "RPC let go, held by the module")
 
-    def counted(self, name: int, total: float | None) -> None:
-        self.tell(CountAnswer(name, total is not None, total or 0.0))
+    def counted(self, name: int, added: bool, total: float) -> None:
+        self.tell(CountAnswer(name, added, total))
 
     def knows(self, backend: int) -> bool:
         return backend in self.gateway.backends
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -151,6 +151,13 @@
         assert isinstance(bench.end(1, 0, first.backend, Outcome.ERROR)[0], answer)
 
 
+def test_idempotent_rpc_that_may_have_run_goes_anywhere():
+    bench = Bench(fleet=6)
+    out, = sent(bench.arrive())
+    for n in range(4):  # no two of these have a cell of their own left
+        out, = sent(bench.end(out.rpc, n, out.backend, Outcome.BROKEN))
+
+
 def test_timed_out_at_the_deadline_still_gets_an_answer():
     for method, answer in ((2, Abort), (0, PushBack)):
         bench = Bench()
@@ -222,6 +229,17 @@
     assert got.count(first) <= 1 and other in got
 
 
+def test_cut_connections_alone_make_no_backend_cold_nor_leave_none_to_send_to():
+    bench = Bench(fleet=3, plans=(plan(1e6, 1e6),))
+    for turn in range(40):
+        bench.pass_time(100_000)
+        out, = sent(bench.arrive(units=0.01))
+        if turn % 4 == 0:
+            out, = sent(bench.end(out.rpc, 0, out.backend, Outcome.CUT))
+        bench.end(out.rpc, int(turn % 4 == 0), out.backend)
+    assert all(backend.warm and not backend.started for backend in bench.gateway.backends.values())
+
+
 def test_many_gateways_rooms_are_fractions_that_sum_to_the_whole():
     benches, through = crowd(200, fleet=20), 0
     for bench in benches:
@@ -392,6 +410,9 @@
     bench = Bench()
     drain(bench)
     bench.pass_time(3_000_000, count_all(50.0))
+    for _ in range(30):
+        bench.tell(CountAnswer(1, False, float("nan")))
+    assert bench.gateway.reading == 1.0  # lost with a connection: no crowd
     for _ in range(30):
         bench.tell(CountAnswer(1, False, 0.0))
     assert bench.gateway.reading == pytest.approx(0.1)
