Later tries are told by their mark: first tries had been taken for them and held to 0.4 of the room

Checked: spoilt answers cost little (1.5% of utility had a broken call-out, nearly all ok in the next); the room refused 16% of the utility while 4 to 8 call-outs were out and it held 16. A line an RPC showed why: first tries came with 835 ms of 1470 ms (clients give a first try up earlier), later ones with all that is left, 967 to 1416 ms. control.py, claim(), took the longest wait seen for a first try's, so nearly all first tries were 'later' and might fill 0.4 of the room; they came back late. Change: where clients mark their later tries (Req-Retry; a bit on the simulator's wire), the mark tells; else the wait, as before.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -260,12 +260,13 @@
 
     def claim(self, call: Arrival) -> float:
         """The part of the room that an RPC may fill. A later try that can no longer be ok within the soft
-        deadline leaves most of it to those that can; told by a wait shorter than a first try's."""
+        deadline leaves most of it to those that can; unmarked, told by a wait shorter than a first try's."""
         method, row = self.terms.methods[call.method], self.methods[call.method]
         row.longest = max(row.longest, call.wait_us)
         if call.wait_us < 0.7 * row.mean:  # it would be given up before it is answered
             return 0.1
-        if method.deadline_us - call.wait_us > 0.8 * method.soft_us and call.wait_us < 0.98 * row.longest:
+        later = call.wait_us < 0.98 * row.longest if call.repeat is None else call.repeat
+        if later and method.deadline_us - call.wait_us > 0.8 * method.soft_us:
             return 0.4  # 0.5 and 0.3 each gave up more on one kind of incident
         # Utility for the time it takes, against the running mean: the cheaper half of it leaves first.
         value = method.utility * self.terms.plans[call.plan].price * call.units / row.mean
@@ -393,8 +394,7 @@
 
     def choose(self, tried: set[int], claim: float, home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
-        best, best_fill = None, math.inf
-        jammed = self.jammed()
+        best, best_fill, jammed = None, math.inf, self.jammed()
         filled = sum(b.out - (0 if jammed else b.overdue) for b in self.order if self.near(b))
         # Where gateways are many a room is a fraction: by chance, so that the parts sum to the whole.
         if filled + self.chance.draw() >= self.room * claim:
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -76,6 +76,7 @@
     call_outs_max: int
     can_call_off: bool
     has_counter: bool
+    marks_repeats: bool  # clients say which of their tries are later ones
     settles: bool
     must_subscribe: bool
     units_top: float
@@ -100,6 +101,7 @@
     wait_us: int  # how long the client still waits
     units: float
     width: float  # gateways that this customer's RPCs come through
+    repeat: bool | None = None  # a client's later try; None where they don't say
 
 
 @dataclass(slots=True)
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -40,13 +40,13 @@
         self.methods = {name.encode(): at for at, name in enumerate(methods)}
         self.plans = {name.encode(): at for at, name in enumerate(plans)}
         self.effects = [method.effect for method in terms.methods]
-        self.gateways, self.units_top = terms.gateways, terms.units_top
+        self.gateways, self.units_top, self.marks = terms.gateways, terms.units_top, terms.marks_repeats
 
 
 class Asked:
     """What an RPC's head says, read and checked."""
 
-    __slots__ = ("account", "id", "method", "plan", "units", "wait_us", "width")
+    __slots__ = ("account", "id", "method", "plan", "repeat", "units", "wait_us", "width")
 
     def __init__(self, message: Message, names: Names) -> None:
         if message.repeated and (twice := message.repeated & ONCE):
@@ -74,6 +74,7 @@
             raise Malformed("x-customer is no 16 hex digits under 2^33")
         if not PLAIN(wait) or float(wait) > LONGEST_S:
             raise Malformed(f"a deadline that is none: {wait[:40]!r}")
+        self.repeat = message.headers.get(b"req-retry") == b"1" if names.marks else None
         self.units, self.width = quota(needed(message, b"x-quota"), names)
         self.account, self.method, self.plan, self.wait_us = account, method, at, int(float(wait) * 1_000_000)
 
@@ -241,7 +242,8 @@
         give_up_at = until - self.slack_us  # so that the answer is there when the client's time is up
         self.tally.add("RPCs")
         held = client.held = self.runtime.take_in(
-            asked.method, asked.plan, asked.account, until, asked.units, asked.width)
+            asked.method, asked.plan, asked.account, until, asked.units, asked.width,
+            asked.repeat)
         try:
             while True:
                 match await held.wish(give_up_at):
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -118,11 +118,12 @@
                 logger.exception("{} could not be carried out", action)
                 self.tally.must(False, "action failed")
 
-    def take_in(self, method: int, plan: int, account: int, until: int, units: float, width: float) -> Held:
+    def take_in(self, method: int, plan: int, account: int, until: int, units: float, width: float,
+                repeat: bool | None) -> Held:
         self.rpcs += 1
         held = self.held[self.rpcs] = Held(self.rpcs, self.clock)
         self.tell(Arrival(held.index, method, plan, self.customers.enter(account), account,
-                          max(0, until - self.clock.now()), units, width))
+                          max(0, until - self.clock.now()), units, width, repeat))
         return held
 
     def call_out_ended(self, held: Held, n: int, backend: int, outcome: Outcome) -> None:
--- a/stoneyoke/simhost/host.py
+++ b/stoneyoke/simhost/host.py
@@ -102,10 +102,10 @@
         if inst is None:
             return
         if code == wire.ACCEPT:
-            _, req, method, plan, customer, wait, units, width, _, _ = fields
+            _, req, method, plan, customer, wait, units, width, _, bits = fields
             inst.tell_rpc(req, Arrival(
                 inst.rpcs.enter(req), method, plan, inst.customers.enter(customer), customer, wait, units,
-                width,
+                width, bool(bits & wire.REPEAT) if inst.gateway.terms.marks_repeats else None,
             ), now, reply)
         elif code == wire.VERDICT:
             _, req, _, _, n, backend, cost, outcome, closed, *_ = fields
--- a/stoneyoke/simhost/wire.py
+++ b/stoneyoke/simhost/wire.py
@@ -14,6 +14,7 @@
 EVENT_SIZE, ACTION_SIZE = 40, 24
 ENTRY = struct.Struct("<HHHfIQB")
 
+REPEAT = 2  # of an RPC's bits: a client's later try
 SPAWN, LIST_NEWS, ACCEPT, FIRST, VERDICT, GONE = range(1, 7)
 WAKEUP, ECHO, WHISPER, KILLED, COUNTED, MANIFEST = range(7, 13)
 EVENTS = {
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -29,7 +29,7 @@
 def terms(plans=None, **changes):
     values = dict(
         seed=7, gateways=3, own_index=0, zone=0, methods=METHODS, plans=plans or (plan(),), call_outs_max=5,
-        can_call_off=True, has_counter=True, settles=False, must_subscribe=False,
+        can_call_off=True, has_counter=True, marks_repeats=False, settles=False, must_subscribe=False,
        
         units_top=1.0, cold_share=0.25, warm_up_us=10_000_000, push_over_factor=2.0, push_over_us=1_500_000,
     )
@@ -51,10 +51,10 @@
         self.log += [(self.now, action) for action in actions]
         return actions
 
-    def arrive(self, method=0, customer=0, units=1.0, width=3.0, wait=2_500_000, plan=0):
+    def arrive(self, method=0, customer=0, units=1.0, width=3.0, wait=2_500_000, plan=0, repeat=None):
         self.next_rpc += 1
         return self.tell(Arrival(
-            self.next_rpc, method, plan, customer, 1000 + customer, wait, units, width))
+            self.next_rpc, method, plan, customer, 1000 + customer, wait, units, width, repeat))
 
     def end(self, rpc, n, backend, outcome=Outcome.OK, closed=None, units=0.0):
         closed = outcome is Outcome.OK if closed is None else closed
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -359,6 +359,15 @@
     assert sent(bench.arrive())
 
 
+def test_a_first_try_with_a_short_wait_is_no_later_one_where_clients_mark_those():
+    bench = Bench(plans=(plan(1000.0, 3000.0),))
+    bench.arrive(customer=1, repeat=True)  # waits for longer than a first try does here
+    bench.gateway.room = 10.0
+    while sent(bench.arrive(wait=1_200_000, repeat=True)):
+        pass
+    assert bench.gateway.out == 4 and sent(bench.arrive(wait=1_200_000, repeat=False))
+
+
 def load(bench, number, **call):
     """As many RPCs of as many customers; the call-outs that came of it."""
     return [sent(bench.arrive(customer=100 + i, **call))[0] for i in range(number)]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -807,7 +807,7 @@
 async def test_a_call_out_wished_for_and_never_made_is_told_as_not_sent():
     async with Town() as town:
         runtime = town.program.runtime
-        held = runtime.take_in(0, 0, 5, runtime.clock.now() + 1_000_000, 1.0, 3.0)
+        held = runtime.take_in(0, 0, 5, runtime.clock.now() + 1_000_000, 1.0, 3.0, None)
         assert isinstance(held.wishes[0], CallOut) and runtime.gateway.out == 1
         runtime.let_go(held)
         assert runtime.gateway.out == 0 and not runtime.held and not runtime.gateway.open
