Few kept connections: those who ask once and stay leave the usual clients a place

Cause: clients may open a third of the descriptors for RPCs; 45 connections a second that ask once and stay, each kept for 5 s, fill that. Ruled out: CPU (0.43 of 0.48 cores at most), the descriptors (280 of 384), the quota. Change: clients.py keeps a quarter of the descriptors of those that have asked; the longest idle go as another falls idle.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -92,7 +92,7 @@
         self.runtime = Runtime(charter.terms, self.clock, self.tally)
         self.backends = Backends(self.clock, self.tally, charter.dial_us, charter.idle_us, room)
         self.clients = Clients(self.clock, self.tally, self.runtime, self.backends, charter.names,
-                               charter.slack_us, room)
+                               charter.slack_us, room, charter.descriptors)
         self.counter: Counter | None = None
         if charter.counter:
             self.counter = Counter(
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -25,8 +25,8 @@
                   b"idempotency-key", b"req-retry"))
 # The operators' page: whoever connects is owed an error or a close within 3 s, and a connection may be closed
 # 2 s after its last RPC. A message's time runs from its first byte, the first one's from the connection's.
+# Those who keep one for good must not take what their front may open, a third of the descriptors.
 PART_US = 2_000_000
-IDLE_US = 5_000_000  # longer than a busy front leaves one unused; shorter only costs handshakes
 UNTAKEN_US = 10_000_000  # for how long an answer may wait to be taken
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
 LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
@@ -128,13 +128,16 @@
 
 class Clients:
     def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, backends: Backends, names: Names,
-                 slack_us: int, room: Room) -> None:
+                 slack_us: int, room: Room, descriptors: int) -> None:
         self.clock, self.tally, self.runtime, self.backends = clock, tally, runtime, backends
         self.names, self.slack_us, self.room = names, slack_us, room
-        self.fresh_most = max(1, room.most // 3)
+        # The operators' page: clients open a third of the descriptors at most for RPCs. What is kept open, by
+        # fronts for later and by those who ask once for good, leaves them a quarter of that.
+        self.fresh_most, self.asked_most = max(1, room.most // 3), max(1, descriptors // 4)
         room.victims.append(self.idle_longest)
         self.open: dict[asyncio.StreamWriter, Client] = {}  # emptied as connections close
         self.fresh: dict[Client, None] = {}  # the oldest first; emptied by a first whole message or a close
+        self.idle: dict[Client, None] = {}  # after an answer, the longest first; emptied by a byte or a close
         self.ids: set[bytes] = set()  # of RPCs that are held; emptied as they are let go
         self.ending = False
 
@@ -157,6 +160,7 @@
         def came() -> None:
             client.messages.hungry = False
             if client.idle:
+                self.idle.pop(client, None)
                 client.idle, client.since = False, self.runtime.came()
             elif client.whole and not client.ahead:
                 client.ahead = self.runtime.came()
@@ -180,6 +184,9 @@
                     break
                 client.whole, client.idle = False, not client.ahead and not client.messages.pending()
                 client.since, client.ahead = client.ahead or self.clock.now(), 0
+                if client.idle:
+                    self.idle[client] = None
+                    self.keep_few()
         except Malformed as bad:
             await self.complain(client, bad)
         except OSError:
@@ -193,6 +200,7 @@
             line.on_bytes = line.on_close = None
             del self.open[writer]
             self.fresh.pop(client, None)
+            self.idle.pop(client, None)
             self.room.free()
             writer.close()
 
@@ -282,9 +290,16 @@
                 return not (client.idle or client.over), client.since, partial(self.close_for_room, client)
         return None
 
+    def keep_few(self) -> None:
+        """Closes those idle longest while so many are kept that clients may find none to open."""
+        for client in list(self.idle)[:max(0, len(self.open) - len(self.fresh) - self.asked_most)]:
+            if client.quiet():
+                self.close_for_room(client)
+
     def close_for_room(self, client: Client) -> None:
         self.tally.add("connections of clients: closed for room")
         self.fresh.pop(client, None)
+        self.idle.pop(client, None)
         client.writer.transport.abort()
 
     def sweep(self) -> None:
@@ -300,7 +315,7 @@
                     self.tally.add("connections of clients: stuck")
                     client.writer.transport.abort()
             elif client.idle:
-                if (client.fresh or age >= IDLE_US) and client.quiet():
+                if client.quiet():
                     self.tally.add("connections of clients: closed as idle")
                     client.writer.transport.abort()
             elif client.quiet():
