Answers over 64 KiB pass: a body may hold a part of the memory limit

Checked: half of all utility had a broken call-out; the log had 'body over 64 KiB' only. The heads, logged, said 243289 bytes, the same for all five call-outs of an RPC: that is its answer's size, not a spoilt length. Cause: http.py, check() and on_body(): BODY_TOP for answers as for RPCs. Change: an answer may hold a 32nd of limits.memory_mb (1 MB at 32 MB); RPCs stay at 64 KiB; 3 GB is refused at the head as before.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -15,7 +15,7 @@
 from stoneyoke.net.clients import Clients, Names
 from stoneyoke.net.counter import Counter
 from stoneyoke.net.discovery import Discovery, Fleet, News
-from stoneyoke.net.http import Malformed
+from stoneyoke.net.http import BODY_TOP, Malformed
 from stoneyoke.net.room import Room
 from stoneyoke.runtime import Clock, Runtime
 from stoneyoke.startup import BadStart, field, read_terms
@@ -25,6 +25,8 @@
 WAITING = 1024  # connections that may wait to be accepted; the system cuts it down to what it allows
 OWN_DESCRIPTORS = 24  # standard streams, the loop's own, the listener, the counter's and discovery's
 LEAST_DESCRIPTORS = 80  # with fewer there is no use in starting
+LEAST_MB = 32  # the operators' page: no machine has less
+ANSWER_PART = 32  # of the memory, for one answer's body: backends send more than the protocol page's 64 KiB
 
 
 def address(table: Any, key: str) -> tuple[str, int]:
@@ -65,7 +67,9 @@
         self.dial_us, self.idle_us = (field(caps, key, int, 1) for key in ("dial-timeout-us", "conn-idle-us"))
         self.slack_us = field(settings["rules"], "answer-slack-us", int)
         self.zones = field(settings, "zones", list)
-        self.descriptors = field(field(given, "limits", dict), "sockets", int, LEAST_DESCRIPTORS)
+        limits = field(given, "limits", dict)
+        self.descriptors = field(limits, "sockets", int, LEAST_DESCRIPTORS)
+        self.memory = field({"memory_mb": LEAST_MB} | limits, "memory_mb", int, 1) << 20
         self.listen, self.discovery = address(given, "listen"), address(given, "discovery")
         self.counter: tuple[str, int] | None = None
         self.count_limit_us = 0
@@ -90,7 +94,8 @@
         room = Room(charter.descriptors - OWN_DESCRIPTORS - 2 * part, part)
         self.clock, self.tally = Clock(), Tally()
         self.runtime = Runtime(charter.terms, self.clock, self.tally)
-        self.backends = Backends(self.clock, self.tally, charter.dial_us, charter.idle_us, room)
+        self.backends = Backends(self.clock, self.tally, charter.dial_us, charter.idle_us, room,
+                                 max(BODY_TOP, charter.memory // ANSWER_PART))
         self.clients = Clients(self.clock, self.tally, self.runtime, self.backends, charter.names,
                                charter.slack_us, room, charter.descriptors)
         self.counter: Counter | None = None
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from stoneyoke.interface import Outcome
-from stoneyoke.net.http import Line, Malformed, Message, Messages, connect, unread, write_message
+from stoneyoke.net.http import BODY_TOP, Line, Malformed, Message, Messages, connect, unread, write_message
 from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
@@ -16,9 +16,9 @@
 class Link:
     """One connection to a backend."""
 
-    def __init__(self, line: Line, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, line: Line, writer: asyncio.StreamWriter, answer_top: int) -> None:
         self.line, self.writer = line, writer
-        self.answers = Messages(line.reader, answers=True)
+        self.answers = Messages(line.reader, answers=True, body_top=answer_top)
         self.used_at = 0
 
     def close(self) -> None:
@@ -36,8 +36,9 @@
 
 
 class Backends:
-    def __init__(self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, room: Room) -> None:
-        self.clock, self.tally, self.room = clock, tally, room
+    def __init__(self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, room: Room,
+                 answer_top: int = BODY_TOP) -> None:
+        self.clock, self.tally, self.room, self.answer_top = clock, tally, room, answer_top
         self.dial_s, self.idle_us = dial_us / 1_000_000, int(idle_us * IDLE_PART)
         self.sites: dict[int, Site] = {}  # by backend; emptied by forget()
         room.victims.append(self.idle_longest)
@@ -128,7 +129,7 @@
             self.room.free()
             raise
         self.tally.add("connections to backends")
-        return Link(line, writer)
+        return Link(line, writer, self.answer_top)
 
     def take_idle(self, site: Site) -> Link | None:
         while site.idle:
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -13,7 +13,7 @@
 
 BODY_TOP = 65_536  # the protocol page: a body holds no more than 64 KiB
 HEAD_TOP = 16_384  # bytes of a head; the largest of the protocol page holds some 500
-MESSAGE_TOP = 5 * BODY_TOP  # bytes of a message with its framing: chunks may be small, not without end
+FRAMED = 5  # times its body's limit a message may hold with its framing: chunks may be small, not without end
 PIECE = 16_384  # bytes read at once; a stream stops reading at twice that, so that no peer fills the memory
 WASTE = 262_144  # the same for what is only thrown away: 60 MB in 240 reads
 
@@ -97,8 +97,8 @@
 class Messages:
     """The messages that come over one connection: what clients ask, or (answers=True) answers."""
 
-    def __init__(self, reader: asyncio.StreamReader, *, answers: bool) -> None:
-        self.reader, self.answers = reader, answers
+    def __init__(self, reader: asyncio.StreamReader, *, answers: bool, body_top: int = BODY_TOP) -> None:
+        self.reader, self.answers, self.body_top = reader, answers, body_top
         kind = httptools.HttpResponseParser if answers else httptools.HttpRequestParser
         self.parser: Any = kind(self)
         self.whole: deque[Message] = deque()  # no more than one piece read can hold
@@ -136,7 +136,7 @@
                 self.fault = self.fault or Malformed(f"no HTTP/1.1: {bad}")
             if self.in_head and self.size > HEAD_TOP:
                 self.fault = self.fault or Malformed("head over 16 KiB", 431)
-            elif self.raw > MESSAGE_TOP:
+            elif self.raw > FRAMED * self.body_top:
                 self.fault = self.fault or Malformed("a message without end", 413)
         return self.whole.popleft()
 
@@ -180,8 +180,8 @@
             return Malformed("the connection was to change its protocol")
         if coding is not None and coding.lower() != b"chunked":
             return Malformed("a transfer coding that is not known", 501)
-        if length is not None and int(length) > BODY_TOP:
-            return Malformed("body over 64 KiB", 413)
+        if length is not None and int(length) > self.body_top:
+            return Malformed("a body that is too long", 413)
         if self.answers:
             message.status = self.parser.get_status_code()
             if coding is length is None and message.status >= 200 and message.status not in (204, 304):
@@ -196,8 +196,8 @@
 
     def on_body(self, part: bytes) -> None:
         self.size += len(part)
-        if self.size > BODY_TOP:
-            self.fault = self.fault or Malformed("body over 64 KiB", 413)
+        if self.size > self.body_top:
+            self.fault = self.fault or Malformed("a body that is too long", 413)
         elif not self.fault:
             self.parts.append(part)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -404,6 +404,14 @@
         return await self.backends.call_out(self.held, n, backend, line, body, self.clock.now() + within)
 
 
+@on_loop
+async def test_an_answer_may_be_as_long_as_the_memory_allows():
+    body = b"x" * 1_000_000
+    async with Town(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)) as town:
+        async with town.caller() as caller:
+            assert (await caller.ask(rpc()))[2] == body
+
+
 @on_loop
 async def test_an_answer_cut_short_or_framed_by_nothing_but_its_stream_s_end_is_broken():
     for data in (OK[:-1], OK[:20], b"HTTP/1.1 200 OK\r\n\r\nyes"):
