No list entry, list or configuration file can raise more than a line; the end has an end

Found by reading, checked by feeding each to Entry, News and Charter: a port of 70000 or a host with a blank passed and would have raised OverflowError or UnicodeError in the middle of an RPC's call-out (its client lost); Infinity as a group escaped News; a list over 64 KiB was refused whole; 'clients' that is no object raised AttributeError out of the SIGHUP handler. answer_held() waited for as long as anyone left an answer untaken; now for the longest deadline.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -44,7 +44,7 @@
     try:
         with open(path, "rb") as file:
             given = json.load(file)
-    except (OSError, ValueError) as bad:
+    except (OSError, ValueError, RecursionError) as bad:
         raise BadStart(f"NODE_CONFIG: {path!r} can't be read: {bad}") from bad
     if not isinstance(given, dict):
         raise BadStart("NODE_CONFIG: not an object")
@@ -127,7 +127,7 @@
         it says counts from the next start on."""
         try:
             new = Charter(read_given())
-        except BadStart as bad:
+        except Exception as bad:  # whatever is wrong with a file must not reach what runs
             self.tally.add("reloads: unusable")
             return logger.error("reload: the old configuration stays: {}", bad)
         self.tally.add("reloads")
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -1,6 +1,7 @@
 """Clients' connections, and the life of one RPC."""
 
 import asyncio
+import contextlib
 import re
 from functools import partial
 from typing import cast
@@ -334,8 +335,11 @@
 
     async def answer_held(self) -> None:
         """Ends once nothing is owed: as none listens any more, that is the longest deadline at most."""
-        while any(c.owed() for c in self.open.values()):
-            await asyncio.sleep(0.02)
+        left = max(method.deadline_us for method in self.runtime.terms.methods) / 1_000_000
+        with contextlib.suppress(TimeoutError):  # what is owed still is an answer that nobody takes
+            async with asyncio.timeout(left):
+                while any(c.owed() for c in self.open.values()):
+                    await asyncio.sleep(0.02)
 
 
 def head(message: Message, wait_us: int) -> list[bytes]:
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -9,12 +10,14 @@
 
 from stoneyoke.door import Door
 from stoneyoke.interface import FleetNews, Listed, State
-from stoneyoke.net.http import Malformed, Messages, connect, write_message
+from stoneyoke.net.http import BODY_TOP, Malformed, Messages, connect, write_message
 from stoneyoke.tally import Tally
 
 HOLD_MS = 4_000  # a watch's wait: with the 2 s after it, the 6 s in which all counts as told (protocol page)
 ANSWER_S = 1.0  # how much later than that an answer may come before the connection is given up
 AGAIN_S = 0.1  # pause after a failure: inside the 200 ms within which the protocol page lets a watch go on
+LIST_TOP = 16 * BODY_TOP  # of a list of thousands; the protocol page's 64 KiB hold some 400 entries
+HOST = re.compile(r"[0-9A-Za-z._:-]{1,253}").fullmatch  # what a name or number can be made of
 STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 
 
@@ -26,12 +29,13 @@
             self.name, self.state = str(row["name"]), STATES[row["status"]]
             host, port = str(row.get("address") or ":0").rsplit(":", 1)
             self.address = (host.strip("[]"), int(port))
+            named = HOST(self.address[0]) and 0 < self.address[1] < 65_536
             self.zone, self.cell = str(row.get("zone", "")), max(0, int(row.get("group", 0)))
             self.started_us = max(0, int(row.get("since_ms", 0))) * 1000
-        except (KeyError, TypeError, ValueError, AttributeError) as bad:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
             raise Malformed(f"an entry that can't be used: {row!r}") from bad
-        if self.state is not State.GONE and not host:
-            raise Malformed(f"an entry without an address: {row!r}")
+        if self.state is not State.GONE and not named:
+            raise Malformed(f"an entry without an address of use: {row!r}")
 
 
 class News:
@@ -44,7 +48,7 @@
         try:
             self.index, self.whole = int(top["index"]), bool(top["snapshot"])
             rows = list(top["endpoints"])
-        except (KeyError, TypeError, ValueError) as bad:
+        except (KeyError, TypeError, ValueError, OverflowError) as bad:
             raise Malformed(f"not a list of backends: {str(top)[:80]}") from bad
         for row in rows:
             try:
@@ -93,7 +97,7 @@
 
     async def watch(self, address: tuple[str, int]) -> None:
         line, writer = await connect(address, ANSWER_S)
-        answers = Messages(line.reader, answers=True)
+        answers = Messages(line.reader, answers=True, body_top=LIST_TOP)
         host = b"Host: %s:%d\r\n" % (address[0].encode(), address[1])
         try:
             target, limit = b"/v1/servers", ANSWER_S
--- a/stoneyoke/startup.py
+++ b/stoneyoke/startup.py
@@ -52,7 +52,8 @@
     return Terms(
         seed, field(top, "balancers", int, 1), field(top, "self-index", int), field(top, "zone", int),
         tuple(methods), tuple(plans), field(caps, "try-limit", int, 1), bool(caps.get("cancel", False)),
-        bool(extra.get("has-counter", False)), bool(top.get("clients", {}).get("marks-retry", False)),
+        bool(extra.get("has-counter", False)),
+        field({"clients": {}} | top, "clients", dict).get("marks-retry") is True,
         bool(extra.get("settles", False)), top.get("discovery") == "subscribe",
         field(extra, "units-top", float), field(rules, "cold-from", float), field(rules, "ramp-time-us", int),
         field(rules, "overload-factor", float), field(rules, "overload-for-us", int),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -725,7 +725,8 @@
 
 
 @pytest.mark.parametrize("bad", [
-    {"name": "s-2"}, 7, line_of("s-2", "nowhere"), line_of("s-2", status="odd"),
+    {"name": "s-2"}, 7, line_of("s-2", "nowhere"), line_of("s-2", status="odd"), line_of("s-2", "h:70000"),
+    line_of("s-2", "h:-1"), line_of("s-2", "a b:80"), line_of("s-2", group=float("inf")),
     line_of("s-2", since_ms=None)])
 def test_an_entry_that_cannot_be_used_is_left_out_and_takes_no_other_backend_away(bad):
     news = News({"index": 4, "snapshot": True, "endpoints": [line_of("s-1", "[::1]:80"), bad]})
@@ -736,7 +737,8 @@
 # ---- SIGHUP ----
 
 
-@pytest.mark.parametrize("unusable", ["{", None, {"counter": "x:y"}, {"settings": {}}])
+@pytest.mark.parametrize("unusable", [
+    "{", None, {"counter": "x:y"}, {"settings": {}}, {"settings": SETTINGS | {"clients": 7}}, {"seed": "-"}])
 @on_loop
 async def test_a_reload_moves_discovery_and_counter_and_an_unusable_file_changes_nothing(
         unusable, monkeypatch, tmp_path):
