--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -246,7 +246,7 @@
                 if method.effect is Effect.NON_IDEMPOTENT:
                     break
             # Too late for another, or the fleet is full: going round that would only keep it so.
-            if self.now >= rpc.begun + call.wait_us - method.soft_us // 8 or (
+            if self.now >= rpc.begun + call.wait_us - method.soft_us // 8 or not unrun and self.jammed() or (
                     result.outcome is Outcome.TURNED_AWAY and self.swamped > 0.4):
                 break
         # Rule 2: a pushback says that trying again is harmless.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -156,6 +156,9 @@
     out, = sent(bench.arrive())
     for n in range(4):  # no two of these have a cell of their own left
         out, = sent(bench.end(out.rpc, n, out.backend, Outcome.BROKEN))
+    out, = sent(bench.arrive())
+    bench.gateway.taken = 0.4  # a jam, which going round would only feed
+    assert of(PushBack, bench.end(out.rpc, 0, out.backend, Outcome.BROKEN))
 
 
 def test_timed_out_at_the_deadline_still_gets_an_answer():
