After SIGTERM clients are served for 1.5 s over the connections they keep

Cause: they failed where two gateways were away at once. Each is back 3.9 s after its SIGTERM whenever it ends, the next SIGTERM follows after 3 s, and clients.py closed what was idle after 0.5 s: 0.4 s with neither. Change: STAY_S 1.5, /healthz answers 503 from SIGTERM on, and what is taken then is answered before SIGKILL may come.

--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import sys
 from functools import partial
 from typing import cast
 
@@ -30,8 +31,11 @@
 PART_US = 2_000_000
 UNTAKEN_US = 10_000_000  # for how long an answer may wait to be taken
 LINGER_S = 1.0  # after a 4xx that ends a connection: for this long what still comes is thrown away
-LATE_CLIENTS_S = 0.5  # the protocol page: for up to 0.4 s after SIGTERM clients come as if nothing were
-LAST_CLIENTS_S = 0.7  # the protocol page: what comes up to here after SIGTERM is still owed an answer
+# The protocol page: after SIGTERM clients use the connections they have for as long as these stay open, and
+# SIGKILL comes no earlier than KILL_S plus the longest deadline, counted as 3 s if it is shorter. Four tenths
+# of that are stayed, since the gateways beside this one may be away too; what comes last still has the rest.
+KILL_S, SHORTEST_S, STAY_S = 0.7, 3.0, 1.5
+CROSSING_S = 0.2  # after closing what is idle: what has crossed with that comes on new connections
 
 
 class Names:
@@ -141,6 +145,8 @@
         self.idle: dict[Client, None] = {}  # after an answer, the longest first; emptied by a byte or a close
         self.ids: set[bytes] = set()  # of RPCs that are held; emptied as they are let go
         self.ending = False
+        self.longest_s = max(method.deadline_us for method in runtime.terms.methods) / 1_000_000
+        self.last_at = sys.maxsize  # by when all must be answered; set by SIGTERM
 
     def line(self) -> Line:
         """For the server: the protocol of a connection that has just been accepted."""
@@ -228,7 +234,8 @@
     async def answer(self, client: Client, message: Message) -> None:
         if message.target == b"/healthz" and message.method == b"GET":
             self.tally.add("health checks")
-            status, body, more = (503, b"ending\n", b"") if self.ending else (200, b"ok\n", b"")
+            ending = self.last_at < sys.maxsize
+            status, body, more = (503, b"ending\n", b"") if ending else (200, b"ok\n", b"")
         else:
             status, body, more = await self.life(client, message)
             if status == 0 or client.writer.is_closing():
@@ -247,7 +254,7 @@
         if asked.id in self.ids:
             raise Malformed(f"{asked.id[:40]!r} is open already", 409)
         self.ids.add(asked.id)
-        until = client.since + asked.wait_us
+        until = min(client.since + asked.wait_us, self.last_at)
         give_up_at = until - self.slack_us  # so that the answer is there when the client's time is up
         self.tally.add("RPCs")
         held = client.held = self.runtime.take_in(
@@ -326,18 +333,19 @@
 
     async def take_late(self) -> None:
         """After SIGTERM: goes on as if nothing were while clients still come, then closes what is idle."""
-        await asyncio.sleep(LATE_CLIENTS_S)
+        killed_s = max(self.longest_s, SHORTEST_S) + KILL_S
+        self.last_at = self.clock.now() + int((killed_s - CROSSING_S) * 1_000_000)
+        await asyncio.sleep(STAY_S)
         self.ending = True
         for client in list(self.open.values()):
             if client.idle and client.quiet():
                 client.writer.close()
-        await asyncio.sleep(LAST_CLIENTS_S - LATE_CLIENTS_S)
+        await asyncio.sleep(CROSSING_S)
 
     async def answer_held(self) -> None:
         """Ends once nothing is owed: as none listens any more, that is the longest deadline at most."""
-        left = max(method.deadline_us for method in self.runtime.terms.methods) / 1_000_000
         with contextlib.suppress(TimeoutError):  # what is owed still is an answer that nobody takes
-            async with asyncio.timeout(left):
+            async with asyncio.timeout(self.longest_s):
                 while any(c.owed() for c in self.open.values()):
                     await asyncio.sleep(0.02)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -326,7 +326,8 @@
 
 
 @on_loop
-async def test_sigterm_s_finish_takes_in_what_still_comes_and_answers_what_is_held():
+async def test_sigterm_s_finish_takes_in_what_still_comes_and_answers_what_is_held(monkeypatch):
+    monkeypatch.setattr(clients, "STAY_S", 0.5)
     release = asyncio.Event()
 
     async def late(_, writer):
@@ -342,6 +343,8 @@
         async with town.caller() as newcomer:
             newcomer.writer.write(rpc())
             await until(lambda: len(town.backend.got) == 2)
+            status, headers, _ = await idle.ask(b"GET /healthz HTTP/1.1\r\n\r\n")
+            assert status == 503 and b"Connection" not in headers, "kept for as long as clients use it"
             assert await idle.reader.read() == b""
             await until(lambda: not town.program.server.is_serving())
             with pytest.raises(ConnectionRefusedError):  # else a front that goes on would keep it for ever
@@ -354,6 +357,19 @@
         await finishing
 
 
+@on_loop
+async def test_after_sigterm_a_long_deadline_ends_before_the_process_can_be_killed(monkeypatch):
+    monkeypatch.setattr(clients, "SHORTEST_S", 0.0)
+    monkeypatch.setattr(clients, "KILL_S", -1.3)  # the longest deadline of these settings is 2 s
+    async with Town(None) as town, town.caller() as caller:
+        finishing = asyncio.create_task(town.program.finish())
+        await asyncio.sleep(0)
+        start = time.monotonic()
+        assert (await caller.ask(rpc(b"order", Req_Deadline="9.000")))[0] == 429
+        assert time.monotonic() - start < 1.0
+        await finishing
+
+
 # ---- call-outs ----
 
 
