--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -13,8 +13,10 @@
 from stoneyoke.net.http import BODY_TOP, Malformed, Messages, connect, write_message
 from stoneyoke.tally import Tally
 
-HOLD_MS = 4_000  # a watch's wait: with the 2 s after it, the 6 s in which all counts as told (protocol page)
-ANSWER_S = 1.0  # how much later than that an answer may come before the connection is given up
+# A watch's wait: all counts as told 2 s after its end (protocol page). A connection that has fallen silent
+# tells nothing for as long as this and ANSWER_S, by which an answer may be later; so both are short.
+HOLD_MS = 1_000
+ANSWER_S = 0.5
 AGAIN_S = 0.1  # pause after a failure: inside the 200 ms within which the protocol page lets a watch go on
 LIST_TOP = 16 * BODY_TOP  # of a list of thousands; the protocol page's 64 KiB hold some 400 entries
 HOST = re.compile(r"[0-9A-Za-z._:-]{1,253}").fullmatch  # what a name or number can be made of
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -687,8 +687,8 @@
         await until(lambda: len(at) == 4)
         discovery.end()
     assert [x[0][0].split()[1] for x in stand_in.got] == [
-        b"/v1/servers", b"/v1/servers?from=41&hold_ms=4000", b"/v1/servers?from=43&hold_ms=4000",
-        b"/v1/servers?from=44&hold_ms=4000"]
+        b"/v1/servers", b"/v1/servers?from=41&hold_ms=1000", b"/v1/servers?from=43&hold_ms=1000",
+        b"/v1/servers?from=44&hold_ms=1000"]
     assert max(b - a for a, b in zip(at, at[1:], strict=False)) < 0.2
     told = [(n.whole, [(e.backend, e.zone, e.started_us, e.state.name) for e in n.entries]) for n in news]
     assert told == [
@@ -700,6 +700,19 @@
     assert fleet.door.index == {"s-1": 0, "s-3": 2} and list(fleet.where) == ["s-3"]
 
 
+@on_loop
+async def test_a_watch_that_falls_silent_is_made_anew_well_before_its_news_count_as_told():
+    async def answer(request, writer):
+        return told_list(line_of("s-1")) if b"hold_ms" not in request[0][0] else None
+
+    async with StandIn(answer) as stand_in:
+        discovery, start = Discovery(Tally(), lambda news: None), time.monotonic()
+        discovery.follow(stand_in.address)
+        await until(lambda: stand_in.connections == 2 and len(stand_in.got) == 4)
+        assert time.monotonic() - start < 3.0
+        discovery.end()
+
+
 @pytest.mark.parametrize("order", [1, -1])
 def test_an_address_under_a_new_id_takes_the_old_backend_away_whatever_comes_first(order):
     sites = Backends(Clock(), Tally(), 1, 1, Room(9, 0))
