--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -11,8 +11,9 @@
 
 from loguru import logger
 
+from stoneyoke.net.asked import Names
 from stoneyoke.net.backends import Backends
-from stoneyoke.net.clients import Clients, Names
+from stoneyoke.net.clients import Clients
 from stoneyoke.net.counter import Counter
 from stoneyoke.net.discovery import Discovery, Fleet, News
 from stoneyoke.net.http import BODY_TOP, Malformed
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -37,7 +37,7 @@
         assert {b"Req-Id: 9b1f03aa5c7e2d41", b"Idempotency-Key: 5c0f6e1a", b"Host: app.svc"} <= set(lines)
         told, = (float(x[14:]) for x in lines if x.startswith(b"Req-Deadline: "))
         assert 4.0 < told <= 5.0
-        assert (await caller.ask(rpc()))[0] == 200
+        assert (await caller.ask(rpc(X_Quota="units=4.0000002384185791,spread=3,first=0")))[0] == 200
         assert town.backend.connections == 1 and town.count("RPCs: ok") == 2
         assert not town.program.runtime.held and not town.program.tally.broken
 
