--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -77,6 +77,7 @@
     can_call_off: bool
     has_counter: bool
     marks_repeats: bool  # clients say which of their tries are later ones
+    advises: bool  # a pushback may say when to return
     settles: bool
     must_subscribe: bool
     units_top: float
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -193,7 +193,8 @@
                         return 0, b"", b""
                     case PushBack(_, wait_us):
                         self.tally.add("RPCs: pushed back")
-                        return 429, b"", b"Retry-After: %.3f\r\n" % (wait_us / 1_000_000)
+                        advice = b"Retry-After: %.3f\r\n" % (wait_us / 1_000_000)
+                        return 429, b"", advice if self.runtime.terms.advises else b""
                     case CallOut(_, backend, limit_us):
                         n, now = held.calls, self.clock.now()
                         held.calls += 1
--- a/stoneyoke/startup.py
+++ b/stoneyoke/startup.py
@@ -54,6 +54,7 @@
         tuple(methods), tuple(plans), field(caps, "try-limit", int, 1), bool(caps.get("cancel", False)),
         bool(extra.get("has-counter", False)),
         field({"clients": {}} | top, "clients", dict).get("marks-retry") is True,
+        caps.get("retry-after") is not False,
         bool(extra.get("settles", False)), top.get("discovery") == "subscribe",
         field(extra, "units-top", float), field(rules, "cold-from", float), field(rules, "ramp-time-us", int),
         field(rules, "overload-factor", float), field(rules, "overload-for-us", int),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -29,8 +29,8 @@
 def terms(plans=None, **changes):
     values = dict(
         seed=7, gateways=3, own_index=0, zone=0, methods=METHODS, plans=plans or (plan(),), call_outs_max=5,
-        can_call_off=True, has_counter=True, marks_repeats=False, settles=False, must_subscribe=False,
-       
+        can_call_off=True, has_counter=True, marks_repeats=False, advises=True, settles=False,
+        must_subscribe=False,
         units_top=1.0, cold_share=0.25, warm_up_us=10_000_000, push_over_factor=2.0, push_over_us=1_500_000,
     )
     return Terms(**(values | changes))
@@ -214,7 +214,8 @@
 class Town:
     """A whole gateway, listening, with a backend, a counter and discovery as stand-ins."""
 
-    def __init__(self, answer=OK, limits=None):
+    def __init__(self, answer=OK, limits=None, **caps):
+        self.caps = SETTINGS["caps"] | caps
         self.backend = StandIn(answer)
         self.counter = StandIn(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n2.0")
         self.discovery = StandIn(self.tell)
@@ -230,7 +231,8 @@
         self.list = {"index": 4, "snapshot": True, "endpoints": [entry("s-1", self.backend.text)]}
         self.given = {
             "listen": "127.0.0.1:0", "discovery": self.discovery.text, "counter": self.counter.text,
-            "seed": "8c1f30d27a5be964", "limits": self.limits, "known": self.list, "settings": SETTINGS}
+            "seed": "8c1f30d27a5be964", "limits": self.limits, "known": self.list,
+            "settings": SETTINGS | {"caps": self.caps}}
         self.program = Program(Charter(self.given))
         await self.program.start()
         self.address = self.program.server.sockets[0].getsockname()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -53,6 +53,13 @@
         assert status == 429 and body == b"" and town.count("call-outs: error") >= 1
 
 
+@on_loop
+async def test_no_time_to_return_is_told_where_the_settings_allow_none():
+    async with Town(None, **{"retry-after": False}) as town, town.caller() as caller:
+        status, headers, _ = await caller.ask(rpc(Req_Deadline="0.050"))
+        assert status == 429 and b"Retry-After" not in headers
+
+
 @on_loop
 async def test_what_is_silent_is_answered_when_the_client_s_time_is_up_and_its_connection_closed():
     async with Town(None) as town, town.caller() as caller:
