Thin customers: one store common to all their gateways, kept in the counter and asked

Ruled out: the counter's capacity (1,100 calls a second, 2% late), room and health. Change: where an even slice refills by less than two of the largest RPCs a second, the customer's store stands in the counter under a marked name; an RPC is asked about before it is sent on.

--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -14,7 +14,9 @@
 """
 
 import math
+from collections import deque
 from collections.abc import Callable, Generator
+from functools import partial
 from typing import Any, NamedTuple
 
 from stoneyoke.interface import (
@@ -22,13 +24,16 @@
     FleetNews, Forget, Group, Outcome, Plan, PushBack, SetTimer, State, StreamBegun, Subscribe, Terms,
     TimerFired,
 )
+from stoneyoke.limits.common import LIFE, Common, Talk, left_of_ceiling
 
 SECOND = 1_000_000
 BEAT = 50_000  # the one timer: 20 a second is fine enough for every look below and costs little
 PROVEN_UNRUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.CUT, Outcome.NOT_SENT)
 STILL_OUT = None  # what an RPC is resumed with when its call-out has been out for the asked time
 
-Rpc = Generator[Action | int, CallOutEnded | None, None]
+Rpc = Generator[Action | int, Any, None]
+Hear = Callable[[CountAnswer], None]
+Held = tuple[int, float] | None  # a name of the counter and the amount that stands in it for an RPC
 
 
 class Chance:
@@ -79,15 +84,19 @@
         rate, depth = plan.ceiling_rate * self.even, plan.ceiling_burst * self.even
         self.ceiling = Store(rate, depth, min(depth, rate * (now - born) / SECOND), now)
         self.out, self.seen = 0, now
-        self.demand = 0.0  # this period's, in units
-        # Decayed sums over periods, and their lengths: own demand, and what the others were counted with.
+        self.demand = 0.0  # this second's, in units
+        # Decayed sums over seconds, and their lengths: own demand, and what the others were counted with.
         self.own = self.own_time = self.others = self.others_time = 0.0
         self.heard = -LONGEST_WAIT
-        # Seconds in which an even slice refills by two of the largest RPCs, 1 or 2: thin demand shows late.
-        # Read off the plan alone, so that all gateways agree; a second each doubled the calls for nothing.
-        self.period = 1 if 2 * terms.units_top <= plan.rate * self.even else 2
-        # Its even slice holds no whole RPC a period: each of many gateways sees one of its RPCs now and then.
-        self.thin = plan.rate * self.even * self.period < lump
+        # An even slice that refills by less than two of the largest RPCs in a second tells little of the
+        # whole: then the store is the common one, and the slice decides where that is not heard. Read off
+        # what is told, so that all gateways agree.
+        self.common, self.period = None, 1
+        if terms.has_counter and self.even < 1 and 0 < plan.rate * self.even < 2 * terms.units_top:
+            self.period = 2  # where it is not asked for: thin demand shows late
+            self.common = Common(plan, call.account, self.even, lump)
+            rate, depth = (max(0.0, left * self.even) for left in left_of_ceiling(plan))
+            self.ceiling = Store(rate, depth, min(depth, rate * (now - born) / SECOND), now)
         self.counting_until = self.advised_until = self.blocked_until = 0
         self.tries = self.early = self.step = 0
 
@@ -125,13 +134,14 @@
 
 
 class Call(NamedTuple):
-    """A counter call; part: how much of the period's additions its answer holds, 0 if it is not read."""
+    """A counter call to come; its answer is read for a customer of whom so much was told,
+    and holds that part of the period's additions."""
 
     name: int
     amount: float
-    customer: int = 0
+    customer: int = -1
     told: float = 0.0
-    part: float = 0.0
+    part: float = 1.0
 
 
 class MethodRow:
@@ -150,6 +160,7 @@
         self.call, self.begun = call, now
         self.steps: Rpc | None = None
         self.outs: dict[int, tuple[int, int]] = {}  # call-out number -> backend, time
+        self.asked: AddCount | None = None  # what it waits for the counter to answer
         self.sent = self.look_at = self.slow_at = 0  # slow_at: call-outs whose slowness has been counted
         self.ended = False
 
@@ -168,12 +179,15 @@
         self.usual = 1.0  # the median pace of the backends measured of late
         self.counter_heard = self.counter_asked = now
         self.agenda: dict[int, list[Call]] = {}  # beat -> calls; renewed each second
-        self.reads: dict[int, Call] = {}  # by name; until answered
+        self.awaiting: dict[int, deque[tuple[int, Hear | None]]] = {}  # by name; each call is answered once
         self.beat = self.misses = 0  # misses: counter calls in a row without an answer
         # Running means: share of call-outs turned away or out of time; good answers' time in soft deadlines.
         self.swamped, self.taken = 0.0, 0.1
         self.answers = 0.0  # good answers a second from warm backends, decayed
-        self.reading = 1.0  # the part of the reads that is made
+        self.reading = 1.0  # the part of the calls that is made
+        self.guards = any(plan.ceiling_rate > 0 for plan in terms.plans)
+        self.usual_reading, self.counts_until = 1.0, now
+        self.prompt = 20_000.0  # the shortest time in which one was answered, slowly forgotten
         self.value, self.lump = 0.0, 1.0  # running means: utility for the time taken; the RPCs' cost
         self.subscribe_at: float = now
         self.actions: list[Action] = []
@@ -204,8 +218,9 @@
         call, method = rpc.call, self.terms.methods[rpc.call.method]
         customer = self.customer(call)
         customer.demand += call.units
-        if (wait := self.quota_wait(customer, call)) is not None:
-            yield PushBack(call.rpc, wait)
+        wait, held = yield from self.admit(rpc, customer)
+        if wait > 0:
+            yield PushBack(call.rpc, self.advised(customer, wait))
             return
         unrun, home, first_at = True, None, 0
         claim, tried = self.claim(call), set[int]()
@@ -217,12 +232,12 @@
                 break
             if rpc.sent == 0:
                 # Only from stores that refill: else one would never be full, its customer never forgotten.
-                customer.store.level -= call.units if customer.plan.rate > 0 else 0.0
-                customer.ceiling.level -= call.units if customer.plan.ceiling_rate > 0 else 0.0
+                customer.store.level -= call.units if customer.plan.rate > 0 and not held else 0.0
+                customer.ceiling.level -= call.units if customer.plan.ceiling_rate > 0 and not held else 0.0
             if unrun:
                 home, first_at = backend if method.effect is Effect.DEDUPLICATED else None, self.now
             tried.add(backend.index)
-            result = yield CallOut(call.rpc, backend.index, 0)
+            result: CallOutEnded = yield CallOut(call.rpc, backend.index, 0)
             while result is STILL_OUT:
                 if rpc.slow_at < rpc.sent:
                     rpc.slow_at = rpc.sent
@@ -249,6 +264,8 @@
             if self.now >= rpc.begun + call.wait_us - method.soft_us // 8 or not unrun and self.jammed() or (
                     result.outcome is Outcome.TURNED_AWAY and self.swamped > 0.4):
                 break
+        if held and rpc.sent == 0:
+            self.call_counter(held[0], -held[1])
         # Rule 2: a pushback says that trying again is harmless.
         harmless = unrun or method.effect is Effect.IDEMPOTENT or (
             method.effect is Effect.DEDUPLICATED and method.group is Group.ALL)
@@ -285,30 +302,81 @@
         customer.seen, customer.lump = self.now, self.lump
         return customer
 
-    def quota_wait(self, customer: Customer, call: Arrival) -> int | None:
-        """None: the store can take it. Else the advised wait, with what escalation adds."""
+    def admit(self, rpc: OpenRpc, customer: Customer) -> Generator[Action | int, Any, tuple[int, Held]]:
+        """How long till the customer's store can take it, 0 if it does now; and what the common store holds for
+        it, if that took it."""
+        call, common = rpc.call, customer.common
+        customer.tries += 1
+        if customer.parallel_full(self.methods[call.method].mean / SECOND):
+            return int(self.methods[call.method].mean), None
+        if call.units > customer.plan.burst and customer.plan.rate > 0:
+            return LONGEST_WAIT, None
+        if common is None or not self.asks(common):
+            return self.slice_wait(customer, call), None
+        # Not asked about: what is surely empty, an RPC whose time may pass meanwhile, what a crowded counter
+        # can't bear; a silent one is asked once a second.
+        if common.most(self.now) < call.units or self.now < common.shut_until:
+            return self.common_wait(common, call), None
+        silent = self.misses >= 3 and self.now - self.counter_asked < SECOND
+        part = min(1.0, self.reading * (3 if common.guards else 1))
+        if silent or call.wait_us < 4 * BEAT or self.chance.draw() >= part:
+            return self.slice_wait(customer, call), None
+        # What goes unasked meanwhile is made up for by the weight of what is asked.
+        name, asked_at = common.name(self.now), self.now
+        amount = max(call.units, min(call.units / part, 0.5 * common.burst))
+        answer: CountAnswer | None = yield AddCount(name, LIFE, amount)
+        if answer is None or not answer.added or not math.isfinite(answer.total) or asked_at < self.woke:
+            return self.slice_wait(customer, call), None
+        level = common.read(answer.total, self.now)
+        if level is None or common.name(self.now) != name:
+            self.converse(common.open(self.now))
+            return self.slice_wait(customer, call), None
+        level += amount
+        if spilt := common.spilt(level):
+            self.call_counter(name, spilt)
+        common.hear(level, call.units, self.now)
+        if level >= call.units:
+            return 0, (name, amount)
+        self.call_counter(name, -amount)
+        return self.common_wait(common, call), None
+
+    def asks(self, common: Common) -> bool:
+        return common.guards or self.now >= self.counts_until
+
+    def common_wait(self, common: Common, call: Arrival) -> int:
+        lack = call.units - common.most(self.now)
+        return max(1, common.shut_until - self.now, math.ceil(lack / common.rate * SECOND))
+
+    def converse(self, talk: Talk, answer: CountAnswer | None = None) -> None:
+        """Calls the counter as the talk wants, which is told each answer's total (nan: none) and the time."""
+        total = answer.total if answer and answer.added else math.nan
+        try:
+            name, amount = talk.send((total, self.now)) if answer else next(talk)
+        except StopIteration:
+            return
+        self.call_counter(name, amount, partial(self.converse, talk))
+
+    def slice_wait(self, customer: Customer, call: Arrival) -> int:
+        """Until the stores of this gateway's slice can take it; 0: they can."""
         plan, wait = customer.plan, 0
         if plan.rate > 0:
             if customer.store.fill(self.now) - call.units < 0.5 * customer.store.depth:
                 customer.counting_until = self.now + (2 + customer.period) * SECOND
             # A full store takes an RPC dearer than it holds, and owes the rest: else that is shut out.
             wait = customer.store.wait_for(min(call.units, customer.store.depth), self.now)
-            if call.units > customer.plan.burst:
-                wait = LONGEST_WAIT
         if plan.ceiling_rate > 0:
             wait = max(wait, customer.ceiling.wait_for(call.units, self.now))
-        if customer.parallel_full(self.methods[call.method].mean / SECOND):
-            wait = max(wait, int(self.methods[call.method].mean))
+        return wait
+
+    def advised(self, customer: Customer, wait: int) -> int:
+        """The wait that a pushback states: jittered, with what escalation adds."""
+        customer.early += self.now < customer.advised_until
         # Nine early returns in ten RPCs: double the wait; nine in ten again: block. Else back to plain.
-        customer.tries += 1
-        customer.early += wait > 0 and self.now < customer.advised_until
         if customer.tries >= 10:
             customer.step = min(2, customer.step + 1) if customer.early >= 9 else 0
             if customer.step == 2:
                 customer.blocked_until = self.now + 5 * SECOND
             customer.tries = customer.early = 0
-        if wait <= 0:
-            return None
         wait = min(LONGEST_WAIT, wait * (2 if customer.step else 1))
         wait = self.jittered(max(wait, customer.blocked_until - self.now))
         customer.advised_until = self.now + wait
@@ -321,7 +389,7 @@
 
     def close_second(self) -> None:
         """At each second's end: the demand is finished, and its counter calls are laid out: beats 1 to 8 add,
-        11 to 18 read, by account. A thin customer has one call, which returns what was added by then."""
+        11 to 18 read, by account."""
         second, self.agenda = self.now // SECOND, {}
         silent = self.misses >= 3 and self.counter_asked - self.counter_heard > SECOND
         for customer in list(self.customers.values()):
@@ -338,15 +406,15 @@
 
     def lay_out(self, customer: Customer, told: float, second: int) -> None:
         name = (customer.account * 0x9E3779B97F4A7C15 + second * 0xD1B54A32D192ED03) % 2**64
-        if not customer.thin:
-            slot = customer.account % 8
+        slot, part = customer.account % 8, self.reading
+        if not customer.common:
             if told > 0:
                 self.agenda.setdefault(1 + slot, []).append(Call(name, told))
-            if self.chance.draw() < self.reading:
-                self.agenda.setdefault(11 + slot, []).append(Call(name, 0.0, customer.index, told, 1.0))
-        elif told > 0 and self.chance.draw() < self.reading:
-            # What is left out while calls are turned away is made up for by the weight of what is told.
-            slot, told = int(18 * self.chance.draw()), told / self.reading
+            if self.chance.draw() < part:
+                self.agenda.setdefault(11 + slot, []).append(Call(name, 0.0, customer.index, told))
+        elif told > 0 and not self.asks(customer.common) and self.chance.draw() < part:
+            # One call for both. What is left out while calls are turned away is made up for by its weight.
+            slot, told = int(18 * self.chance.draw()), told / part
             self.agenda.setdefault(1 + slot, []).append(
                 Call(name, told, customer.index, told, (slot + 0.5) / 18))
 
@@ -367,20 +435,42 @@
     def count(self) -> None:
         for beat in [b for b in self.agenda if b <= self.beat]:
             for call in self.agenda.pop(beat):
-                self.counter_asked = self.now
-                if call.part:
-                    self.reads[call.name] = call
-                self.actions.append(AddCount(call.name, 5 * SECOND, call.amount))
+                hear = partial(self.read, call) if call.customer >= 0 else None
+                self.call_counter(call.name, call.amount, hear)
+
+    def call_counter(self, name: int, amount: float, hear: Hear | None = None) -> None:
+        self.counter_asked = self.now
+        self.awaiting.setdefault(name, deque()).append((self.now, hear))
+        self.actions.append(AddCount(name, LIFE, amount))
 
     def counted(self, answer: CountAnswer) -> None:
+        if not (line := self.awaiting.get(answer.name)):
+            return
+        asked_at, hear = line.popleft()
+        if not line:
+            del self.awaiting[answer.name]
         self.misses = 0 if answer.added else self.misses + 1
         self.counter_heard = self.now if answer.added else self.counter_heard
-        # A crowded counter: fewer calls, in balance at one in six; one lost with its link (nan) is none.
-        self.reading += 0.01 if answer.added or math.isnan(answer.total) else -0.05
-        self.reading = max(0.1, min(1.0, self.reading))
-        call = self.reads.pop(answer.name, None)  # none: the answer to an addition
-        customer = self.customers.get(call.customer) if call else None
-        if not call or not customer or not answer.added or not math.isfinite(answer.total):
+        if asked_at >= self.woke and not math.isnan(answer.total):  # else no sign of a crowded counter
+            self.weigh_counter(answer.added, self.now - asked_at)
+        if hear:
+            hear(answer)
+
+    def weigh_counter(self, added: bool, took: int) -> None:
+        """A crowded counter: fewer calls, in balance at one failed in five. Where RPCs wait for answers a slow
+        one counts as failed. If for seconds not half of them can be asked about, all but those under a ceiling
+        are counted by the period, which takes fewer calls: both beside each other did worse than either."""
+        self.prompt = min(1.002 * self.prompt, took)
+        asking = self.now >= self.counts_until
+        failed = not added or (asking or self.guards) and took > 2 * self.prompt + 5_000
+        self.reading = max(0.05, min(1.0, self.reading * (0.9 if failed else 1.03)))
+        self.usual_reading += (self.reading - self.usual_reading) * 0.04
+        if asking and self.usual_reading < 0.5:
+            self.counts_until, self.reading, self.usual_reading = self.now + 30 * SECOND, 1.0, 1.0
+
+    def read(self, call: Call, answer: CountAnswer) -> None:
+        customer = self.customers.get(call.customer)
+        if not customer or not answer.added or not math.isfinite(answer.total):
             return
         if answer.total < call.told * 0.999:  # lost counts: as if the counter were silent
             return
@@ -485,7 +575,8 @@
         rpc.steps = self.rpc(rpc)
         self.carry_out(rpc, next(rpc.steps))
 
-    def resume(self, rpc: OpenRpc, result: CallOutEnded | None) -> None:
+    def resume(self, rpc: OpenRpc, result: CallOutEnded | CountAnswer | None) -> None:
+        rpc.asked = None
         if rpc.steps and not rpc.ended:
             self.carry_out(rpc, rpc.steps.send(result))
 
@@ -493,6 +584,10 @@
         if isinstance(wish, int):
             rpc.look_at = self.now + wish
             return
+        if isinstance(wish, AddCount):
+            # No answer within two beats is none: the slice decides.
+            rpc.look_at, rpc.asked = self.now + 2 * BEAT, wish
+            return self.call_counter(wish.name, wish.amount, partial(self.told, rpc, wish))
         self.actions.append(wish)
         if isinstance(wish, CallOut):
             backend = self.backends[wish.backend]
@@ -511,6 +606,10 @@
             rpc.ended = True
             self.drop_if_done(rpc)
 
+    def told(self, rpc: OpenRpc, asked: AddCount, answer: CountAnswer) -> None:
+        if rpc.asked is asked and not rpc.ended:
+            self.resume(rpc, answer)
+
     def drop_if_done(self, rpc: OpenRpc) -> None:
         if rpc.ended and not rpc.outs:
             self.open.pop(rpc.call.rpc, None)
