--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -24,7 +24,7 @@
     FleetNews, Forget, Group, Outcome, Plan, PushBack, SetTimer, State, StreamBegun, Subscribe, Terms,
     TimerFired,
 )
-from stoneyoke.limits.common import LIFE, Common, Talk, left_of_ceiling
+from stoneyoke.limits.common import LIFE, Common, Talk, guarded_part
 
 SECOND = 1_000_000
 BEAT = 50_000  # the one timer: 20 a second is fine enough for every look below and costs little
@@ -95,7 +95,7 @@
         if terms.has_counter and self.even < 1 and 0 < plan.rate * self.even < 2 * terms.units_top:
             self.period = 2  # where it is not asked for: thin demand shows late
             self.common = Common(plan, call.account, self.even, lump)
-            rate, depth = (max(0.0, left * self.even) for left in left_of_ceiling(plan))
+            rate, depth = guarded_part(plan, self.even, terms.units_top, terms.own_index)
             self.ceiling = Store(rate, depth, min(depth, rate * (now - born) / SECOND), now)
         self.counting_until = self.advised_until = self.blocked_until = 0
         self.tries = self.early = self.step = 0
@@ -303,8 +303,8 @@
         return customer
 
     def admit(self, rpc: OpenRpc, customer: Customer) -> Generator[Action | int, Any, tuple[int, Held]]:
-        """How long till the customer's store can take it, 0 if it does now; and what the common store holds for
-        it, if that took it."""
+        """How long till the customer's store can take it, 0 if it does now; and what the common store holds
+        for it, if that took it."""
         call, common = rpc.call, customer.common
         customer.tries += 1
         if customer.parallel_full(self.methods[call.method].mean / SECOND):
@@ -318,7 +318,7 @@
         if common.most(self.now) < call.units or self.now < common.shut_until:
             return self.common_wait(common, call), None
         silent = self.misses >= 3 and self.now - self.counter_asked < SECOND
-        part = min(1.0, self.reading * (3 if common.guards else 1))
+        part = min(1.0, self.reading * (3 if common.guards else 1)) if self.guards else 1.0
         if silent or call.wait_us < 4 * BEAT or self.chance.draw() >= part:
             return self.slice_wait(customer, call), None
         # What goes unasked meanwhile is made up for by the weight of what is asked.
@@ -329,7 +329,8 @@
             return self.slice_wait(customer, call), None
         level = common.read(answer.total, self.now)
         if level is None or common.name(self.now) != name:
-            self.converse(common.open(self.now))
+            # One just born saves the look back: all are, when there is much to open.
+            self.converse(common.open(self.now, self.now - self.born > 3 * SECOND))
             return self.slice_wait(customer, call), None
         level += amount
         if spilt := common.spilt(level):
@@ -451,21 +452,23 @@
             del self.awaiting[answer.name]
         self.misses = 0 if answer.added else self.misses + 1
         self.counter_heard = self.now if answer.added else self.counter_heard
-        if asked_at >= self.woke and not math.isnan(answer.total):  # else no sign of a crowded counter
+        # No sign of a crowded counter: a call lost with its link (nan), a silent counter, an own stop.
+        if asked_at >= self.woke and self.misses < 3 and not math.isnan(answer.total):
             self.weigh_counter(answer.added, self.now - asked_at)
         if hear:
             hear(answer)
 
     def weigh_counter(self, added: bool, took: int) -> None:
-        """A crowded counter: fewer calls, in balance at one failed in five. Where RPCs wait for answers a slow
-        one counts as failed. If for seconds not half of them can be asked about, all but those under a ceiling
-        are counted by the period, which takes fewer calls: both beside each other did worse than either."""
-        self.prompt = min(1.002 * self.prompt, took)
+        """A crowded counter: fewer calls, in balance at one failed in five. Where RPCs wait for answers a
+        slow one counts as failed. If for seconds not half of them can be asked about, all but those under
+        a ceiling are counted by the period, in fewer calls: both at once did worse than either."""
+        if added:
+            self.prompt = min(1.002 * self.prompt, took)
         asking = self.now >= self.counts_until
         failed = not added or (asking or self.guards) and took > 2 * self.prompt + 5_000
-        self.reading = max(0.05, min(1.0, self.reading * (0.9 if failed else 1.03)))
+        self.reading = max(0.05, min(1.0, 0.9 * self.reading if failed else 1.03 * self.reading + 0.01))
         self.usual_reading += (self.reading - self.usual_reading) * 0.04
-        if asking and self.usual_reading < 0.5:
+        if asking and self.guards and self.usual_reading < 0.45:
             self.counts_until, self.reading, self.usual_reading = self.now + 30 * SECOND, 1.0, 1.0
 
     def read(self, call: Call, answer: CountAnswer) -> None:
--- a/stoneyoke/limits/common.py
+++ b/stoneyoke/limits/common.py
@@ -22,6 +22,9 @@
 MARK = 64  # in what an epoch can give: a total holds seven digits, so a hundredth of a unit still shows
 
 
+GUARDED_SPILL = 0.25  # of the burst; more would leave less of the ceiling to be parted
+
+
 class Common:
     """One customer's common store, as this gateway heard of it last."""
 
@@ -50,13 +53,14 @@
         """The level that this epoch's total tells, maybe over the burst; None: it tells nothing."""
         return self.given(now) - (total - self.mark) if self.marks(total) == 1 else None
 
-    def open(self, now: int) -> Talk:
-        """Whoever finds this epoch's name without its mark reads the last one's and opens it. Of several at
-        once all but the first see that, and take theirs back."""
+    def open(self, now: int, looks_back: bool) -> Talk:
+        """Whoever finds this epoch's name without its mark opens it, told the last one's total if it looks
+        back. Of several at once all but the first see that, and take theirs back."""
         if now - self.opened_at < SECOND:
             return
-        self.opened_at, name = now, self.name(now)
-        last, now = yield self.name(now, 1), 0.0
+        self.opened_at, name, last = now, self.name(now), math.nan
+        if looks_back:
+            last, now = yield self.name(now, 1), 0.0
         if self.name(now) == name:
             amount = self.opening(last, now)
             total, now = yield name, amount
@@ -90,9 +94,17 @@
         return min(self.burst, self.level + self.rate * (now - self.heard_at) / SECOND)
 
 
-GUARDED_SPILL = 0.25
-
 
-def left_of_ceiling(plan: Plan) -> tuple[float, float]:
-    """Rate and burst of a ceiling that the common store can't use up: the parts of what is not asked for."""
-    return plan.ceiling_rate - plan.rate, plan.ceiling_burst - (1 + GUARDED_SPILL) * plan.burst
+def guarded_part(plan: Plan, even: float, largest: float, own: int) -> tuple[float, float]:
+    """Rate and burst of this gateway's part of what the common store can't use up of a ceiling, for RPCs that
+    it does not hold. Where an even part takes none of the largest RPCs, as many gateways as can have a whole
+    one do: a customer's gateways stand in a row, so by their numbers they all know which."""
+    rate, burst = plan.ceiling_rate - plan.rate, plan.ceiling_burst - (1 + GUARDED_SPILL) * plan.burst
+    if rate <= 0 or burst <= 0:
+        return 0.0, 0.0
+    if burst * even >= largest:
+        return rate * even, burst * even
+    holders, row = int(burst / largest) - 1, round(1 / even)  # one less: the row may go round the last number
+    if holders < 1 or (own + 1) * holders // row == own * holders // row:
+        return 0.0, 0.0
+    return rate / (holders + 1), burst / (holders + 1)
