--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -138,7 +138,8 @@
         values = dict(
             seed=self.rng.randrange(2**63), gateways=len(self.lives), own_index=at, zone=at % 3,
             methods=METHODS, plans=self.plans, call_outs_max=5, can_call_off=True, marks_repeats=True,
-            advises=True, settles=False, must_subscribe=False, cold_share=0.25, warm_up_us=10 * SECOND, push_over_factor=2.0,
+            advises=True, settles=False, must_subscribe=False, cold_share=0.25,
+            warm_up_us=10 * SECOND, push_over_factor=2.0,
             push_over_us=1_500_000)
         self.members[at] = Gateway(Terms(**(values | self.terms)), self.now)
         self.tell(at, self.lives[at], FleetNews(True, False, [
