Lab: datagram links, clients that return at once, limits over a failing counter by real processes

Need: links between gateways for what follows; several real processes that hold quotas and ceilings through an empty counter, late answers and killed gateways.

--- a/stoneyoke/lab/ledger.py
+++ b/stoneyoke/lab/ledger.py
@@ -75,7 +75,7 @@
         self.faults: list[list[Any]] = []
         self.uses: dict[str, list[list[Any]]] = defaultdict(list)
         self.lags: dict[str, list[float]] = defaultdict(list)
-        self.counts = self.turned_away = self.carried = 0
+        self.counts = self.turned_away = self.carried = self.between = self.messages = 0
         self.crashes: list[list[Any]] = []
         open_away: dict[str, int] = {}
         for row in self.rows:
@@ -110,6 +110,9 @@
                     self.turned_away += row[3] is None
                 case "carried":
                     self.carried += row[2]
+                case "between":
+                    self.between += row[2]
+                    self.messages += row[3]
                 case "process":
                     name, what = row[2], row[3]
                     if what == "started":
@@ -401,6 +404,8 @@
             "ms p50": times.get_value_at_percentile(50) / 1000,
             "ms p99": times.get_value_at_percentile(99) / 1000,
             "link MB": round(self.carried / 1e6, 2),
+            "peer bytes s": round(self.between / scenario.seconds / scenario.gateways.count, 1),
+            "peer messages s": round(self.messages / scenario.seconds / scenario.gateways.count, 2),
             "memory MB most": round(
                 max((row[3] for rows in self.uses.values() for row in rows), default=0) / 1e6, 1
             ),
--- a/stoneyoke/lab/links.py
+++ b/stoneyoke/lab/links.py
@@ -10,6 +10,7 @@
 import struct
 from collections import deque
 from fnmatch import fnmatchcase
+from functools import partial
 from typing import Any, cast
 
 from stoneyoke.lab.part import Book
@@ -212,33 +213,43 @@
 
 
 class Datagrams(asyncio.DatagramProtocol):
-    """A UDP link: loses, delays and so reorders datagrams on their way to one address."""
-
-    def __init__(self, start: str, end: str, to: tuple[str, int], seed: int = 0) -> None:
-        self.start, self.end, self.to, self.state = start, end, to, State()
-        self.chance = random.Random(f"{seed} {start} {end}")
+    """The UDP links that lead to one gateway: loses, delays and so reorders datagrams, by who sends them."""
+
+    def __init__(
+        self, end: str, to: tuple[str, int], senders: dict[tuple[str, int], str], seed: int = 0
+    ) -> None:
+        self.end, self.to, self.senders = end, to, senders
+        self.states: dict[str, State] = {}  # by sender
+        self.chance = random.Random(f"{seed} {end}")
         self.bytes = self.messages = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
 
-    def datagram_received(self, data: bytes, _: Any) -> None:
+    def datagram_received(self, data: bytes, source: tuple[str, int]) -> None:
+        state = self.states.setdefault(self.senders.get(source, "?"), State())
         self.bytes += len(data)
         self.messages += 1
-        if self.state.silent[0] or self.chance.random() < self.state.lose:
+        if state.silent[0] or self.chance.random() < state.lose:
             return
-        wait = self.state.delay_s + self.chance.random() * self.state.jitter_s
+        wait = state.delay_s + self.chance.random() * state.jitter_s
         if wait:
             asyncio.get_running_loop().call_later(wait, self.transport.sendto, data, self.to)
         else:
             self.transport.sendto(data, self.to)
 
-    def strike(self, number: int, fault: dict[str, Any], begins: bool) -> None:
+    def strike(self, number: int, fault: dict[str, Any], begins: bool, start: str) -> None:
+        """A fault on what this sender's datagrams go through; they only go one way, there."""
+        state = self.states.setdefault(start, State())
         if begins:
-            self.state.faults[number] = fault
+            state.faults[number] = fault
         else:
-            self.state.faults.pop(number, None)
-        self.state.renew()
+            state.faults.pop(number, None)
+        state.renew()
+
+
+def same(peer: Datagrams) -> Datagrams:
+    return peer
 
 
 class Links:
@@ -247,10 +258,18 @@
     def __init__(self, given: dict[str, Any], book: Book) -> None:
         self.book = book
         self.links = [Link(start, end, tuple(entry), tuple(to)) for start, end, entry, to in given["links"]]
+        senders = {tuple(address): name for name, address, _ in given["peers"]}
+        self.peers = [
+            (tuple(entry), Datagrams(name, tuple(address), senders))
+            for name, address, entry in given["peers"][given["at"] :: given["of"]]
+        ]
+        self.names = list(senders.values())
 
     async def start(self) -> None:
         for link in self.links:
             link.listen()
+        for entry, peer in self.peers:
+            await asyncio.get_running_loop().create_datagram_endpoint(partial(same, peer), entry)
 
     def order(self, order: dict[str, Any]) -> Any:
         if order["do"] == "link":
@@ -267,10 +286,26 @@
                 struck = random.Random(order["number"]).sample(struck, few) if struck else []
             for link in struck:
                 link.strike(order["number"], order["fault"], order["begins"])
+            self.strike_peers(order)
             self.book.add("links", order["fault"]["kind"], order["begins"], len(struck))
         return None
 
+    def strike_peers(self, order: dict[str, Any]) -> None:
+        """What a fault between gateways means for their datagrams: each way is a link of its own."""
+        kind = order["fault"]["kind"]
+        for _, link in self.peers:
+            for name in self.names:
+                there = fnmatchcase(name, order["from"]) and fnmatchcase(link.end, order["to"])
+                back = fnmatchcase(link.end, order["from"]) and fnmatchcase(name, order["to"])
+                if there and kind != "cut_back" or back and kind != "cut_there":
+                    whole = order["fault"] | {"kind": "cut" if kind.startswith("cut") else kind}
+                    link.strike(order["number"], whole, order["begins"], name)
+
     async def end(self) -> None:
+        for _, peer in self.peers:
+            peer.transport.close()
+        peers = [peer for _, peer in self.peers]
+        self.book.add("between", sum(peer.bytes for peer in peers), sum(peer.messages for peer in peers))
         for link in self.links:
             link.close()
             for end in list(link.ends):
--- a/stoneyoke/lab/places.py
+++ b/stoneyoke/lab/places.py
@@ -42,6 +42,14 @@
     def to_backend(self, g: int, b: int) -> Address:
         return at(20 + b % 200, g, self.port + b // 200)
 
+    def peer(self, g: int) -> Address:
+        """Where a gateway's datagrams come to, and from where it sends its own: so a link knows who sends."""
+        return self.gateway(g)
+
+    def to_peer(self, g: int) -> Address:
+        """Where others send what is meant for this gateway."""
+        return at(17, g, self.port)
+
     def links(self) -> list[tuple[str, str, Address, Address]]:
         """From, to, where it is entered and where it leads."""
         rows = []
--- a/stoneyoke/lab/run.py
+++ b/stoneyoke/lab/run.py
@@ -304,8 +304,10 @@
         scenario, places, drawn = self.scenario, self.places, self.drawn
         links = places.links()
         carriers = math.ceil(len(links) / LINKS_A_PROCESS)
+        peers = [(name, places.peer(g), places.to_peer(g)) for g, name in enumerate(places.gateway_names)]
         for at in range(carriers):
-            await self.child(f"links{at}", "links", {"links": links[at::carriers]})
+            given_links = {"links": links[at::carriers], "peers": peers, "at": at, "of": carriers}
+            await self.child(f"links{at}", "links", given_links)
         methods = [msgspec.to_builtins(m) for m in scenario.method]
         given = scenario.backends
         await self.child(
@@ -528,6 +530,8 @@
         figures |= {f"spread {one} s": own.most, f"central {one} s": best.most, f"idle {one} s": own.idle}
         figures[f"spread {one} s to central"] = round(own.most / best.most, 3) if best.most else 0.0
     failed = [f"{len(crashes)} gateways crashed"] if crashes else []
+    over = {row[2] for row in ledger.crashes if row[3] == "over its limits"}
+    failed += [f"{name} went over its limits" for name in sorted(over)]
     failed += [
         f"rule {rule} broken {n} times"
         for rule in ("lost", "twice", "drain", "cold", "ceiling")
--- a/stoneyoke/lab/standins.py
+++ b/stoneyoke/lab/standins.py
@@ -412,6 +412,8 @@
         # Gateways that refused a connection, until when they are passed over
         self.down: dict[int, float] = {}
         self.names = given["gateways"]
+        # Clients whose last try was pushed back: a return at once brings these all back together.
+        self.turned_away: deque[tuple[int, int, int, int, int]] = deque(maxlen=500)
         self.open = True
 
     async def start(self) -> None:
@@ -424,6 +426,8 @@
             for waiting in self.idle.values():
                 while waiting:
                     waiting.pop().close()
+            while self.turned_away:
+                self.spawn(self.client(*self.turned_away.popleft(), 8))
         if order["do"] == "drain":
             self.open = False
             return self.drain()
@@ -449,16 +453,21 @@
                 return
             self.spawn(self.client(number, customer, method, gateway, wait_us))
 
-    async def client(self, number: int, customer: int, method: int, gateway: int, wait_us: int) -> None:
+    async def client(
+        self, number: int, customer: int, method: int, gateway: int, wait_us: int, tries: int = 0
+    ) -> None:
         """One client's RPC with its later tries: its time runs from its first."""
         chance = random.Random(f"{self.given['seed']} {number}")
-        until, tries = self.book.now() + wait_us, 0
+        until, last = self.book.now() + wait_us, tries + 2
         while True:
             status, wait_s = await self.ask(
                 f"{number:010x}{tries:02x}", number, customer, method, gateway, until, tries, chance
             )
             tries += 1
-            if status not in (429, 503, 0) or tries > 2 or chance.random() >= self.clients["retries"]:
+            if status not in (429, 503, 0):
+                return
+            if tries > last or chance.random() >= self.clients["retries"]:
+                self.turned_away.append((number, customer, method, gateway, wait_us))
                 return
             pause = self.clients["backoff_ms"] / 1000 * (0.5 + chance.random())
             if chance.random() < self.clients["honour"]:
--- a/tests/lab/test_links.py
+++ b/tests/lab/test_links.py
@@ -131,9 +131,9 @@
                 got.append(int(data))
 
         sink, _ = await loop.create_datagram_endpoint(Sink, ("127.0.0.1", 0))
-        link = Datagrams("a/g0", "a/g1", sink.get_extra_info("sockname"))
-        way, _ = await loop.create_datagram_endpoint(lambda: link, ("127.0.0.1", 0))
         source, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, ("127.0.0.1", 0))
+        link = Datagrams("a/g1", sink.get_extra_info("sockname"), {source.get_extra_info("sockname"): "a/g0"})
+        way, _ = await loop.create_datagram_endpoint(lambda: link, ("127.0.0.1", 0))
 
         async def send(n):
             for i in range(n):
@@ -144,16 +144,17 @@
         await send(50)
         assert got == list(range(50))
         got.clear()
-        link.strike(0, fault("lose", part=0.3), True)
+        link.strike(9, fault("cut"), True, "a/g7")  # another one's
+        link.strike(0, fault("lose", part=0.3), True, "a/g0")
         await send(200)
         assert 100 <= len(got) <= 180
-        link.strike(0, fault("lose"), False)
-        link.strike(1, fault("delay", ms=5.0, jitter_ms=60.0), True)
+        link.strike(0, fault("lose"), False, "a/g0")
+        link.strike(1, fault("delay", ms=5.0, jitter_ms=60.0), True, "a/g0")
         got.clear()
         await send(100)
         assert sorted(got) == list(range(100)) != got
-        link.strike(1, fault("delay"), False)
-        link.strike(2, fault("cut"), True)
+        link.strike(1, fault("delay"), False, "a/g0")
+        link.strike(2, fault("cut"), True, "a/g0")
         got.clear()
         await send(5)
         assert got == []
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -61,6 +61,13 @@
     assert compared.returncode == 0 and "goodput" in compared.stdout
 
 
+def test_quotas_and_ceilings_hold_over_an_empty_counter_late_answers_and_killed_gateways(tmp_path):
+    ran = lab("run", "limits", "--out", tmp_path / "run", "--port", 16070)
+    result = msgspec.json.decode((tmp_path / "run" / "result.json").read_bytes())
+    assert result["verdict"] in ("passed", "void"), ran.stdout + ran.stderr
+    assert result["figures"]["counter calls a try"] > 0.4
+
+
 def test_a_gateway_that_dies_is_told_as_a_crash_with_its_last_line(tmp_path):
     out = tmp_path / "run"
     path = short(tmp_path, 5)
