A new life waits for discovery's first word, and nothing is sent to what left while it was dialled

Found by reading: Program.start listens while the list that the process was started with may be old (a starved start takes half a second), and Backends.call_out wrote an RPC to a connection that came up after the backend's drain was told. Change: RPCs of a new life wait for discovery's first answer, 0.4 s at most; call_out asks before writing whether the backend still takes work.

--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -107,7 +107,9 @@
             self.runtime.add_count = self.counter.add
         self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget,
                            self.runtime.knows)
+        self.backends.takes = self.fleet.takes
         self.discovery = Discovery(self.tally, self.told)
+        self.clients.informed = self.discovery.spoke
 
     def told(self, news: News) -> None:
         self.runtime.listed(self.fleet.news(news))
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 from stoneyoke.interface import Outcome
 from stoneyoke.net.http import BODY_TOP, Line, Malformed, Message, Messages, connect, unread, write_message
@@ -41,6 +42,7 @@
         self.clock, self.tally, self.room, self.answer_top = clock, tally, room, answer_top
         self.dial_s, self.idle_us = dial_us / 1_000_000, int(idle_us * IDLE_PART)
         self.sites: dict[int, Site] = {}  # by backend; emptied by forget()
+        self.takes: Callable[[int], bool] = lambda _: True  # new work; set by whoever knows discovery's list
         room.victims.append(self.idle_longest)
 
     def place(self, backend: int, address: tuple[str, int]) -> None:
@@ -90,6 +92,9 @@
                         return Outcome.NOT_SENT, None
                     link = await self.connect(site)
                 site.busy += 1
+                if not self.takes(backend):  # told so since the module chose it: while it was dialled, say
+                    self.tally.add("call-outs: backend left meanwhile")
+                    return Outcome.NOT_SENT, None
                 write_message(link.writer, head, body)
                 if link.writer.transport.get_write_buffer_size():
                     await link.writer.drain()
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -75,6 +75,7 @@
         self.fresh: dict[Client, None] = {}  # the oldest first; emptied by a first whole message or a close
         self.idle: dict[Client, None] = {}  # after an answer, the longest first; emptied by a byte or a close
         self.ids: set[bytes] = set()  # of RPCs that are held; emptied as they are let go
+        self.informed = asyncio.Event()  # set by discovery's first word: no RPC is sent on before
         self.ending = False
         self.longest_s = max(method.deadline_us for method in runtime.terms.methods) / 1_000_000
         self.last_at = sys.maxsize  # by when all must be answered; set by SIGTERM
@@ -179,6 +180,9 @@
     async def life(self, client: Client, message: Message) -> tuple[int, bytes, bytes]:
         """One RPC, from its head to its answer: status, body, more headers. Status 0: nobody waits."""
         asked = Asked(message, self.names)
+        if not self.informed.is_set():
+            self.tally.add("RPCs: waited for the first list")
+            await self.informed.wait()
         await self.runtime.catch_up()
         if client.gone:
             return 0, b"", b""
--- a/stoneyoke/net/discovery.py
+++ b/stoneyoke/net/discovery.py
@@ -17,6 +17,9 @@
 # tells nothing for as long as this and ANSWER_S, by which an answer may be later; so both are short.
 HOLD_MS = 1_000
 ANSWER_S = 0.5
+# A new life knows the list it was started with, while drains may have been told since: RPCs wait for the first
+# answer, this long at most. (herd+mass: starved gateways sent by that list 0.56 s and more after their start.)
+FIRST_S = 0.4
 AGAIN_S = 0.1  # pause after a failure: inside the 200 ms within which the protocol page lets a watch go on
 LIST_TOP = 16 * BODY_TOP  # of a list of thousands; the protocol page's 64 KiB hold some 400 entries
 HOST = re.compile(r"[0-9A-Za-z._:-]{1,253}").fullmatch  # what a name or number can be made of
@@ -65,10 +68,13 @@
     def __init__(self, tally: Tally, told: Callable[[News], None]) -> None:
         self.tally, self.told = tally, told
         self.heard = True  # the last call was answered
+        self.spoke = asyncio.Event()  # set by the first answer, or by its failure
         self.watches: list[asyncio.Task[None]] = []  # the newest last; emptied from the front by answered()
 
     def follow(self, address: tuple[str, int]) -> None:
-        self.watches.append(asyncio.get_running_loop().create_task(self.run(address)))
+        loop = asyncio.get_running_loop()
+        self.watches.append(loop.create_task(self.run(address)))
+        loop.call_later(FIRST_S, self.spoke.set)
 
     def end(self) -> None:
         while self.watches:
@@ -95,6 +101,7 @@
             except Exception:  # a fault here must not end the watch
                 logger.exception("discovery failed")
                 self.tally.must(False, "discovery failed")
+            self.spoke.set()
             await asyncio.sleep(AGAIN_S)
 
     async def watch(self, address: tuple[str, int]) -> None:
@@ -121,6 +128,7 @@
                 self.heard = True
                 self.answered()
                 self.told(news)
+                self.spoke.set()
                 if not answer.keeps:
                     return
                 target = b"/v1/servers?from=%d&hold_ms=%d" % (news.index, HOLD_MS)
@@ -171,6 +179,11 @@
         zone = self.zones.index(entry.zone) if entry.zone in self.zones else len(self.zones)
         return Listed(self.door.index[entry.name], zone, entry.cell, entry.started_us, entry.state)
 
+    def takes(self, backend: int) -> bool:
+        """Whether a backend takes new work, as discovery told last."""
+        address = self.where.get(self.door.names[backend])
+        return address is not None and self.holders[address].state is State.READY
+
     def lose(self, name: str) -> None:
         if address := self.where.pop(name, None):
             del self.holders[address]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1022,3 +1022,58 @@
     monkeypatch.setenv("STONEYOKE_OPTIONS", str(tmp_path / "none.toml"))
     with pytest.raises(BadStart, match="can't be read"):
         program.read_options({})
+
+
+@on_loop
+async def test_an_rpc_of_a_new_life_waits_for_the_first_list_and_spares_what_drains_since():
+    """Started with a list in which s-1 is ready; discovery knows that it drains, and says so 0.1 s later."""
+    town = Town()
+    hold = asyncio.Event()
+    tell = town.tell
+
+    async def later(request, writer):
+        await hold.wait()
+        return await tell(request, writer)
+
+    town.discovery.answer = later
+    async with town, town.caller() as caller:
+        town.list = {"index": 5, "snapshot": True, "endpoints": [
+            entry("s-1", town.backend.text, "leaving")]}
+        asking = asyncio.create_task(caller.ask(rpc()))
+        await until(lambda: town.count("RPCs: waited for the first list") == 1)
+        hold.set()
+        status, _, _ = await asking
+        assert status == 429 and town.backend.got == []
+
+
+@pytest.mark.parametrize("answer", [None, b"", b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"])
+@on_loop
+async def test_a_discovery_that_is_down_holds_a_new_life_back_for_a_moment_only(answer):
+    town = Town()
+    town.discovery.answer = answer
+    async with town, town.caller() as caller:
+        status, _, _ = await caller.ask(rpc())
+        assert status == 200
+
+
+@on_loop
+async def test_a_backend_that_drains_while_it_is_dialled_gets_nothing(monkeypatch):
+    dialled, up = asyncio.Event(), asyncio.Event()
+    connect = Backends.connect
+
+    async def slowly(self, site):
+        dialled.set()
+        await up.wait()
+        return await connect(self, site)
+
+    async with Town() as town, town.caller() as caller:
+        await until(town.program.discovery.spoke.is_set)
+        monkeypatch.setattr(Backends, "connect", slowly)
+        asking = asyncio.create_task(caller.ask(rpc()))
+        await dialled.wait()
+        town.program.told(News({"index": 6, "snapshot": False, "endpoints": [
+            entry("s-1", town.backend.text, "leaving")]}))
+        up.set()
+        status, _, _ = await asking
+        assert status == 429 and town.backend.got == []
+        assert town.count("call-outs: backend left meanwhile") == 1
