--- a/stoneyoke/fleet/evidence.py
+++ b/stoneyoke/fleet/evidence.py
@@ -147,13 +147,15 @@
         """What is told: whom this gateway accuses, then what it knows of those that are disputed, here or by
         who asks; of these it asks itself where it knows nothing. A gateway to which most backends seem bad is
         cut off itself, and accuses nobody."""
-        recent = [(max(seen.ok_at, seen.bad_at), id, seen) for id, seen in self.seen.items()]
+        about = self.disputed.keys() | self.verdicts.keys() | {entry.backend for entry in asked}
+        # Of the many that are well and asked about by nobody nothing is worked out.
+        recent = [(max(seen.ok_at, seen.bad_at), id, seen) for id, seen in self.seen.items()
+                  if seen.bad_at > seen.ok_at or seen.pace > 2.9 or id in about]
         recent.sort(key=lambda row: row[:2], reverse=True)
         entries = [self.entry(id, seen, now) for at, id, seen in recent if now - at < AGE]
         accused = [entry for entry in entries if entry.accuses]
         if len(accused) > WRONG * max(1, len(self.known)):
             accused = []
-        about = self.disputed.keys() | self.verdicts.keys() | {entry.backend for entry in asked}
         others = [entry for entry in entries if not entry.accuses and entry.backend in about]
         told = {entry.backend for entry in accused + others}
         unknown = [] if asked else [Entry(id, 0, 0, NEVER, NEVER, 10) for id in sorted(about - told)]
