--- a/stoneyoke/control.py
+++ b/stoneyoke/control.py
@@ -25,6 +25,7 @@
     Terms, TimerFired,
 )
 from stoneyoke.limits.common import LIFE, Common, Talk, guarded_part
+from stoneyoke.spread.places import places, turns
 
 SECOND = 1_000_000
 BEAT = 50_000  # the one timer: 20 a second is fine enough for every look below and costs little
@@ -127,7 +128,7 @@
         self.pace = 1.0  # time taken, in means of its methods
         self.failures = 0.0  # decayed share of call-outs that failed
         self.quiet_since = 0  # the last answer, or the first call-out after a pause
-        self.band = self.place = self.rests_until = self.measured = 0
+        self.band = self.place = self.rests_until = self.measured = self.sent_at = 0
         self.shown = 1.0  # the pace, or how long it has been quiet if that is more
         self.cold = Store(0.0, 1.0, 0.0, 0)  # call-outs that it may get while it is cold
         self.warm = True  # told with the order only: one that turned warm since stands first in it
@@ -489,23 +490,25 @@
 
     def choose(self, tried: set[int], claim: float, home: Backend | None, group: Group) -> Backend | None:
         """The order is filled from the top, a call-out each per round, each backend up to its limit."""
-        best, best_fill, jammed = None, math.inf, self.jammed()
+        best, best_fill, jammed, few = None, (math.inf, 0), self.jammed(), turns(self.answers)
         filled = sum(b.out - (0 if jammed else b.overdue) for b in self.order if self.near(b))
         # Where gateways are many a room is a fraction: by chance, so that the parts sum to the whole.
         if filled + self.chance.draw() >= self.room * claim:
             return None
         limit = max(1.0, 2 * self.room / max(1, len(self.order)))
-        for backend in self.order:
+        for at, backend in enumerate(self.order):
+            # Turns among some, the longest unused first: a busy gateway's first one would draw all it has.
+            if best_fill[0] <= 0 and (at >= few or backend.place >= len(self.order)):
+                break
             if backend.index in tried or not self.usable(backend):
                 continue
             if home and (group is Group.ZONE and backend.zone != home.zone or (
                     group is Group.CELL and backend.cell != home.cell)):
                 continue
-            fill = 0 if backend.index in self.hearsay.probed else backend.out + backend.band
+            probed = backend.index in self.hearsay.probed
+            fill = (-1, 0) if probed else (backend.out + backend.band, backend.sent_at)
             if fill < best_fill and backend.out < limit:
                 best, best_fill = backend, fill
-                if fill <= 0:
-                    break
         return best
 
     def usable(self, backend: Backend) -> bool:
@@ -557,16 +560,8 @@
         median = sorted(b.shown for b in fleet)[len(fleet) // 2]
         failing = sorted(b.failures for b in fleet)[len(fleet) // 2]
         self.budget_cold(fleet)
-        # A ring of zones, of which each one's gateways take an even stretch first: mostly their own zone,
-        # and some of a large one for a small one's. The golden ratio spreads them within it.
-        zones = sorted({b.zone for b in fleet})
-        stretch = len(fleet) / len(zones)
-        start = int(zones.index(self.terms.zone) * stretch) if self.terms.zone in zones else 0
-        for here in (True, False):
-            part = [b for at, b in enumerate(fleet) if ((at - start) % len(fleet) < stretch) is here]
-            for at, backend in enumerate(part, -int(self.terms.own_index * 0.618034 % 1 * len(part))):
-                backend.place = at % len(part) + (0 if here else len(fleet))
-        for backend in fleet:
+        ring = places([b.zone for b in fleet], self.terms.zone, self.terms.own_index)
+        for backend, backend.place in zip(fleet, ring, strict=True):
             backend.band = max(0, int(math.log(backend.shown / median) / math.log(1.5)))
             if backend.failures > failing + 0.4 and self.now >= backend.rests_until:
                 backend.rests_until = self.now + SECOND
@@ -601,6 +596,7 @@
             if backend.out == 0:
                 backend.quiet_since = self.now
             backend.out += 1
+            backend.sent_at = self.now
             self.out += 1
             backend.cold.level -= not backend.warm
             self.customers[rpc.call.customer].out += 1
--- /dev/null
+++ b/tests/spread/test_places.py
@@ -0,0 +1,81 @@
+"""Places in the ring and turns among backends: together many gateways call all alike, each little of them."""
+
+import random
+
+import pytest
+from helpers import Bench, sent
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stoneyoke.spread.places import MOST, TURN_S, places, turns
+
+
+@given(st.lists(st.integers(0, 4), min_size=1, max_size=40), st.integers(0, 5), st.integers(0, 400))
+@settings(derandomize=True, deadline=None)
+def test_every_backend_has_a_place_of_its_own_and_one_is_the_first(zones, own_zone, own):
+    found = places(sorted(zones), own_zone, own)
+    assert len(set(found)) == len(zones) and min(found) == 0
+
+
+def test_a_zone_of_its_own_comes_first():
+    found = places([0] * 10 + [1] * 10 + [2] * 10, 1, 7)
+    assert {at for at, place in enumerate(found) if place < 10} == set(range(10, 20))
+
+
+@pytest.mark.parametrize("gateways, backends", [(200, 40), (300, 60), (100, 12)])
+def test_first_places_are_shared_evenly(gateways, backends):
+    zones = sorted(b % 3 for b in range(backends))
+    firsts = [places(zones, g % 3, g).index(0) for g in range(gateways)]
+    counts = [firsts.count(b) for b in range(backends)]
+    assert min(counts) >= 0.5 * gateways / backends and max(counts) <= 1.6 * gateways / backends
+
+
+def test_one_that_joins_moves_few_first_places():
+    before = [places([0] * 40, 0, g).index(0) for g in range(200)]
+    after = [places([0] * 41, 0, g).index(0) for g in range(200)]
+    assert sum(abs(a - b) <= 1 for a, b in zip(before, after, strict=True)) == 200
+
+
+def test_turns_follow_the_rate_and_a_quiet_gateway_has_one():
+    assert [turns(rate) for rate in (0.0, 0.1, 1 / TURN_S, 1.1 / TURN_S, 90.0)] == [1, 1, 1, 2, MOST]
+
+
+def load(gateways=60, backends=24, seconds=12, seed=3):
+    """Call-outs by 3 s windows and backend, of modules that know nothing of one another; skewed rates."""
+    chance, windows = random.Random(seed), {}
+    benches = [Bench(fleet=backends, gateways=gateways, own_index=g, zone=g % 2) for g in range(gateways)]
+    rates = [3.0 / (1 + g) ** 0.5 * 2 for g in range(gateways)]
+    for g, bench in enumerate(benches):
+        step, pending = 0, []
+        while step < seconds * 20:
+            for when, rpc, backend in [p for p in pending if p[0] <= step]:
+                pending.remove((when, rpc, backend))
+                bench.end(rpc, 0, backend)
+            for _ in range(chance.random() < rates[g] / 20):
+                for call in sent(bench.arrive(units=0.001, customer=chance.randrange(50))):
+                    pending.append((step + 2, call.rpc, call.backend))
+                    row = windows.setdefault(step // 60, [0] * backends)
+                    row[call.backend] += 1
+            bench.pass_time(50_000)
+            step += 1
+    return [row for window, row in sorted(windows.items()) if window]
+
+
+def test_sixty_gateways_that_know_nothing_of_one_another_load_all_backends_alike():
+    for row in load():
+        mean = sum(row) / len(row)
+        assert max(row) <= 1.7 * mean and min(row) > 0.3 * mean, row
+
+
+def test_turns_are_taken_the_longest_unused_first_and_within_the_zone():
+    bench = Bench(fleet=12, gateways=60, own_index=5)
+    took = []
+    for _ in range(120):
+        call, = sent(bench.arrive(units=0.001))
+        took.append(call.backend)
+        bench.pass_time(50_000)
+        bench.end(bench.next_rpc, 0, call.backend)
+        bench.pass_time(50_000)
+    late = took[60:]
+    assert {b % 2 for b in late} == {0} and len(set(late)) == MOST
+    assert all(len(set(late[n:n + MOST])) == MOST for n in range(0, 60 - MOST, MOST))
