--- a/tests/fleet/test_replay.py
+++ b/tests/fleet/test_replay.py
@@ -9,9 +9,10 @@
     TimerFired,
 )
 
-# Digest of all actions for the events drawn below. On the text before the fleet part (0753999) and on the one with
-# it (6c2d412) it was a104d657ea79491c; taken anew when gateways began to take turns (docs/design/spread.md). A
-# change of decisions on purpose takes it anew: print(replay()) on the changed text, the reason in its commit.
+# Digest of all actions for the events drawn below. On the text before the fleet part (0753999) and on the one
+# with it (6c2d412) it was a104d657ea79491c; taken anew when gateways began to take turns. A change of
+# decisions on
+# purpose takes it anew: print(replay()) on the changed text, with the reason in its commit.
 RECORDED = "8c822a070341ccd1"
 ENDS = [Outcome.OK] * 12 + list(Outcome)
 
