--- /dev/null
+++ b/stoneyoke/harbour/desk.py
@@ -0,0 +1,61 @@
+"""One generic handler for the calls of backends and operators over HTTP/1.1: reads, asks, answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import cast
+
+from loguru import logger
+
+from stoneyoke.lading.calls import Answer, Asked, Refused, Unable, answer, ask
+from stoneyoke.net.http import Line, Malformed, Messages, status_line, write_message
+
+IDLE_S = 30.0
+
+
+class Desk:
+    """`meet` carries out what was asked and says what came of it."""
+
+    def __init__(self, meet: Callable[[Asked], Awaitable[Answer]], body_top: int) -> None:
+        self.meet, self.body_top = meet, body_top
+
+    async def open(self, address: tuple[str, int]) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Line(self.serve), *address, backlog=512)
+
+    def close(self) -> None:
+        self.server.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        messages = Messages(reader, answers=False, body_top=self.body_top)
+        try:
+            while True:
+                async with asyncio.timeout(IDLE_S):
+                    message = await messages.next()
+                if message is None:
+                    break
+                given: Answer | Refused
+                try:
+                    asked = ask(message.method.decode("ascii"), message.target.decode("ascii"), message.body)
+                    given = asked if isinstance(asked, Refused) else await self.meet(asked)
+                except UnicodeDecodeError:
+                    given = Refused(400, "path", "characters that are not ASCII")
+                except Exception:  # a fault costs this one call
+                    logger.exception("a call at the desk failed")
+                    given = Unable("failed here")
+                self.say(writer, *answer(given), keeps=message.keeps)
+                if not message.keeps:
+                    break
+                await writer.drain()
+        except Malformed as bad:
+            self.say(writer, *answer(Refused(bad.status, "message", str(bad))), keeps=False)
+            cast(Line, writer.transport.get_protocol()).deafen()
+            await asyncio.sleep(0.2)  # closing at once would reset the answer away
+        except (OSError, asyncio.CancelledError):  # a TimeoutError is one
+            pass
+        finally:
+            writer.close()
+
+    def say(self, writer: asyncio.StreamWriter, status: int, body: bytes, *, keeps: bool) -> None:
+        more = b"" if keeps else b"Connection: close\r\n"
+        write_message(writer, [status_line(status), more,
+                               b"Content-Type: application/json\r\nContent-Length: %d\r\n" % len(body)], body)
--- /dev/null
+++ b/stoneyoke/harbour/duties.py
@@ -0,0 +1,65 @@
+"""Duties that one machine does: a lease that a majority of the voters granted, stopped before its end.
+
+A voter's grant lives in memory. One that has just started may have granted before, so it grants nothing until a
+lease granted then has run out. Clocks need not agree: the holder counts from before it asked, a voter from after."""
+
+from dataclasses import dataclass, field
+
+from stoneyoke.harbour.quorum import majority
+
+TTL_S = 1.6
+STOP = 0.85  # of the lease, after which its holder stops: clocks run apart by less
+RENEW_S = 0.4
+
+
+@dataclass(slots=True)
+class Grant:
+    holder: str
+    life: str
+    until: float
+
+
+class Grantor:
+    """A voter's part."""
+
+    def __init__(self, now: float, fresh: bool) -> None:
+        """fresh: the system's first start, so that nobody can hold anything."""
+        self.silent_until = now if fresh else now + TTL_S
+        self.grants: dict[str, Grant] = {}
+
+    def ask(self, duty: str, holder: str, life: str, ttl_s: float, now: float) -> tuple[bool, str, float]:
+        """Whether it is granted; who has it; for how many seconds more."""
+        if now < self.silent_until:
+            return False, "", self.silent_until - now
+        grant = self.grants.get(duty)
+        if grant and now < grant.until and (grant.holder, grant.life) != (holder, life):
+            return False, grant.holder, grant.until - now
+        ttl_s = min(max(0.0, ttl_s), TTL_S)
+        self.grants[duty] = Grant(holder, life, now + ttl_s)
+        return True, holder, ttl_s
+
+
+@dataclass(slots=True)
+class Tenure:
+    """A holder's part: rounds of asking, and until when the duty is its own."""
+
+    until: float = 0.0
+    began: float = 0.0  # of the round that is out
+    granted: set[str] = field(default_factory=set)
+    since: float = 0.0  # of this tenure; a new one begins with nothing known
+
+    def ask(self, now: float) -> None:
+        self.began, self.granted = now, set()
+
+    def answer(self, voter: str, ok: bool, crew: tuple[str, ...], began: float, now: float) -> None:
+        """began: of the round that the answer belongs to; an older one's counts for nothing."""
+        if not ok or began != self.began or voter not in crew:
+            return
+        self.granted.add(voter)
+        if len(self.granted) >= majority(len(crew)):
+            if not self.holds(now):
+                self.since = now
+            self.until = max(self.until, began + TTL_S * STOP)
+
+    def holds(self, now: float) -> bool:
+        return now < self.until
--- /dev/null
+++ b/stoneyoke/harbour/office.py
@@ -0,0 +1,514 @@
+"""A harbourmaster at work: ties the control plane's state to the disk, the other cores, gateways and callers.
+
+What is decided stands in word, register, duties, ring and limits.shares; this file asks them and carries out."""
+
+import asyncio
+import json
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import ParamSpec, TypeVar
+
+from loguru import logger
+
+from stoneyoke.harbour.duties import RENEW_S, TTL_S, Grantor, Tenure
+from stoneyoke.harbour.quorum import majority
+from stoneyoke.harbour.register import Phase, Register, Row, row_of
+from stoneyoke.harbour.ring import Watch
+from stoneyoke.harbour.word import Crew, Vote, Word
+from stoneyoke.hold.stow import Hold, HoldError
+from stoneyoke.lading.calls import (
+    Answer, Asked, Beat, Leave, Look, Noted, ReadBack, Refused, Replace, Unable, Whole,
+)
+from stoneyoke.lading.charts import Chart, Version, read_chart
+from stoneyoke.lading.tables import Unfit
+from stoneyoke.limits.shares import Keeper
+from stoneyoke.signals.messages import (
+    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, News, Pull, Row as Told_row,
+    Tell, Told,
+)
+from stoneyoke.signals.wires import Unheard, Wire
+
+ANSWER_S = 0.85  # a caller moves on after a second of silence (PROTOCOL, The operator)
+LARGE_S = 1.0 / (1 << 20)  # a second more for each MiB
+CALL_S = 0.7
+PULL_S = 0.25  # how long a core may hold another's pull
+PAUSE_S = 0.15  # after a peer that did not answer
+TELL_S = 0.2
+TOUCH_S = 1.2  # a peer that answered within this is in touch
+SETTLE_S = 1.0  # after a start; by then whoever is up has answered
+QUOTAS = "quotas"
+
+P = ParamSpec("P")
+R = TypeVar("R")
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another core: its wire, what it said of itself, and how far its news was heard."""
+
+    wire: Wire
+    vote: Vote | None = None
+    heard_at: float = -1e9
+    life: str = ""
+    seq: int = 0
+    settled: bool = False
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+
+class Office:
+    """port: of the cores' station. silent_s: see Register."""
+
+    def __init__(self, name: str, ip: str, port: int, zone: str, hold: Hold, seeds: tuple[str, ...], *,
+                 first_start: bool, silent_s: float, bounds: dict[str, float],
+                 clock: Callable[[], float] = time.monotonic) -> None:
+        self.name, self.ip, self.port, self.zone, self.hold, self.clock = name, ip, port, zone, hold, clock
+        self.life, self.born = secrets.token_hex(6), clock()
+        self.seeds, self.first_start, self.bounds = seeds, first_start, bounds
+        self.word, self.register, self.watch = Word(ip), Register(silent_s), Watch(10.0)
+        self.tenure = Tenure()
+        self.peers: dict[str, Peer] = {}
+        self.keeper: Keeper | None = None
+        self.chart: Chart | None = None
+        self.disk = asyncio.Lock()  # one record is written at a time
+        self.alarm = asyncio.Event()  # set and renewed when gateways should hear of something
+        self.heard: dict[str, None] = {}  # instances whose beats came to this core since it told others
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.fresh = first_start
+        self.pilots: dict[str, tuple[Version, float, bool]] = {}  # by name: version, when, ready
+
+    # ---- start ----
+
+    async def start(self) -> None:
+        word, wrong = await self.blocking(self.hold.load, "word")
+        crew, wronger = await self.blocking(self.hold.load, "crew")
+        for what in (*wrong, *wronger):
+            logger.warning("disk: {}", what)
+        self.fresh = self.first_start and crew is None
+        version, body = Version(), b""
+        if word and b"body" in word:
+            try:
+                self.chart = read_chart(word[b"body"])
+                version, body = self.chart.version, self.chart.body
+            except Unfit as bad:
+                logger.error("disk: the configuration held can't be read: {}", bad)
+                crew = None  # then this core does not know what it acknowledged: it copies before it votes
+        self.word.found(read_crew(crew), bool(crew and crew.get(b"standing") == b"1"), version, body)
+        if self.fresh:
+            self.word.first(self.seeds)
+            await self.keep_crew()
+        self.grantor = Grantor(self.clock(), self.fresh)
+        self.meet_core(*self.seeds, *self.word.crew.names)
+        for work in (self.tell_often(), self.sweep_often(), self.do_duties()):
+            self.spawn(work)
+
+    def spawn(self, work: "asyncio.Future[None] | object") -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def blocking(self, work: Callable[P, R], *args: P.args, **kwargs: P.kwargs) -> R:
+        return await asyncio.get_running_loop().run_in_executor(None, lambda: work(*args, **kwargs))
+
+    def changed(self) -> None:
+        """Whoever waits for news is answered."""
+        self.alarm.set()
+        self.alarm = asyncio.Event()
+
+    # ---- the operator's word on disk ----
+
+    async def keep_word(self, chart: Chart) -> None:
+        """On disk when this returns, if it is higher than what is held. Raises HoldError."""
+        async with self.disk:
+            if not self.word.rises(chart.version):
+                return
+            await self.blocking(self.hold.keep, "word", {b"body": chart.body})
+            self.word.hold(chart.version, chart.body)
+            self.chart = chart
+        self.changed()
+
+    async def keep_crew(self) -> None:
+        async with self.disk:
+            crew = self.word.crew
+            await self.blocking(self.hold.keep, "crew", {
+                b"number": b"%d" % crew.number, b"ballot": b"%d" % crew.ballot, b"sure": b"%d" % crew.sure,
+                b"names": ",".join(crew.names).encode(), b"standing": b"%d" % self.word.standing})
+        self.changed()
+
+    # ---- other cores ----
+
+    def meet_core(self, *names: str) -> None:
+        for name in names:
+            if name and name != self.ip and name not in self.peers:
+                peer = self.peers[name] = Peer(Wire((name, self.port)))
+                peer.tasks.append(self.spawn(self.follow(name, peer)))
+
+    async def follow(self, name: str, peer: Peer) -> None:
+        """Pulls what another core knows, for as long as this process lives."""
+        while True:
+            try:
+                await self.pull(peer, int(PULL_S * 1000))
+                await asyncio.sleep(0.05)
+            except Unheard:
+                await asyncio.sleep(PAUSE_S)
+            except Exception:
+                logger.exception("following {} failed", name)
+                await asyncio.sleep(1.0)
+
+    async def pull(self, peer: Peer, wait_ms: int) -> None:
+        news = await peer.wire.call(Pull(
+            self.name, self.ip, "harbourmaster", self.zone, peer.life, peer.seq, stamp(self.word.version),
+            True, False, wait_ms, self.life), CALL_S + wait_ms / 1000)
+        if not isinstance(news, News):
+            raise Unheard("an answer of another kind")
+        now = self.clock()
+        peer.heard_at, peer.life, peer.seq, peer.settled = now, news.life, news.seq, news.settled
+        for row in news.rows:
+            if self.register.hear(Row(*row), now):
+                self.changed()
+        self.meet_core(*news.cores)
+        await self.voted(peer, Version(*news.stamp), Crew(news.crew_number, 0, tuple(news.crew), True),
+                         news.standing)
+
+    async def voted(self, peer: Peer, version: Version, crew: Crew, standing: bool) -> None:
+        """Another core has said what it holds: a higher configuration is copied, a newer list of voters too."""
+        peer.vote = Vote(version, crew, standing)
+        if self.word.rises(version):
+            await self.copy(peer)
+        votes = self.votes()
+        if newer := self.word.learn_crew(votes):
+            self.word.crew = newer
+            if self.ip not in newer.names:
+                self.word.standing = False
+            await self.try_disk(self.keep_crew())
+        if self.word.may_stand(self.votes(fresh=True)):
+            self.word.standing = True
+            logger.info("copied enough to vote: {}", self.word.version)
+            if not await self.try_disk(self.keep_crew()):
+                self.word.standing = False
+
+    async def try_disk(self, work: "asyncio.Future[None] | object") -> bool:
+        try:
+            await work  # type: ignore[misc]
+            return True
+        except HoldError as bad:
+            logger.error("disk: {}", bad)
+            return False
+
+    async def copy(self, peer: Peer) -> None:
+        bill = await peer.wire.call(Fetch(), CALL_S + 1.0)
+        if isinstance(bill, Bill) and bill.body:
+            try:
+                await self.keep_word(read_chart(bill.body))
+            except (Unfit, HoldError) as bad:
+                logger.error("a configuration from {} is not kept: {}", peer.wire.address[0], bad)
+
+    def votes(self, fresh: bool = False) -> dict[str, Vote]:
+        """What the other cores said; fresh: of late."""
+        now = self.clock()
+        return {name: peer.vote for name, peer in self.peers.items()
+                if peer.vote and (not fresh or now - peer.heard_at < TOUCH_S)}
+
+    def in_touch(self) -> bool:
+        """More than half of the voters, this one included, are heard."""
+        now, crew = self.clock(), self.word.crew.names
+        near = sum(name == self.ip or name in self.peers and now - self.peers[name].heard_at < TOUCH_S
+                   for name in crew)
+        return bool(crew) and near >= majority(len(crew))
+
+    def settled(self) -> bool:
+        return self.fresh or self.clock() - self.born > SETTLE_S and (
+            any(peer.settled for peer in self.peers.values()) or self.clock() - self.born > 3 * SETTLE_S)
+
+    async def tell(self, rows: list[Row]) -> int:
+        """How many of the voters know of these now, this one included."""
+        async def one(peer: Peer) -> bool:
+            try:
+                return isinstance(await peer.wire.call(Tell([tuple(row) for row in rows]), CALL_S), Told)
+            except Unheard:
+                return False
+
+        crew = self.word.crew.names
+        know, enough = int(self.ip in crew), majority(len(crew) or 1)
+        waiting = {asyncio.ensure_future(one(peer)): name for name, peer in self.peers.items()}
+        while waiting and know < enough:
+            done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            know += sum(task.result() and waiting[task] in crew for task in done)
+            for task in done:
+                del waiting[task]
+        for task in waiting:  # the rest hear of it all the same
+            self.tasks.add(task)  # type: ignore[arg-type]
+            task.add_done_callback(self.tasks.discard)
+        return know
+
+    async def tell_often(self) -> None:
+        while True:
+            await asyncio.sleep(TELL_S)
+            names, self.heard = list(self.heard), {}
+            if names:
+                await self.tell(self.register.heard(names, self.clock()))
+
+    async def sweep_often(self) -> None:
+        while True:
+            await asyncio.sleep(0.25)
+            seq = self.register.seq
+            self.register.sweep(self.clock())
+            if self.watch.sweep(self.clock()) or self.register.seq > seq:
+                self.changed()
+
+    # ---- duties ----
+
+    async def do_duties(self) -> None:
+        while True:
+            now, crew = self.clock(), self.word.crew.names
+            held = self.tenure.holds(now)
+            _, holder, left = self.grant_of(QUOTAS)
+            if self.word.votes() and (held or not holder or holder == self.ip):
+                if not held:  # those with a lower place go first
+                    await asyncio.sleep(0.1 * crew.index(self.ip) + 0.05 * secrets.randbelow(4) / 4)
+                await self.ask_duty(crew)
+            if self.tenure.holds(self.clock()) != held or not held:
+                self.keep_quotas()
+            await asyncio.sleep(RENEW_S if held else 0.2)
+
+    async def ask_duty(self, crew: tuple[str, ...]) -> None:
+        began = self.clock()
+        self.tenure.ask(began)
+        ok, _, _ = self.grantor.ask(QUOTAS, self.ip, self.life, TTL_S, began)
+        self.tenure.answer(self.ip, ok, crew, began, began)
+
+        async def one(name: str, peer: Peer) -> None:
+            try:
+                answer = await peer.wire.call(Claim(QUOTAS, self.ip, self.life, int(TTL_S * 1000)), CALL_S)
+            except Unheard:
+                return
+            if isinstance(answer, Granted) and answer.crew_number == self.word.crew.number:
+                self.tenure.answer(name, answer.ok and answer.standing, crew, began, self.clock())
+
+        asked = [self.spawn(one(name, self.peers[name])) for name in crew if name in self.peers]
+        if asked:
+            await asyncio.wait(asked, timeout=0.3)
+
+    def keep_quotas(self) -> None:
+        now = self.clock()
+        if not self.tenure.holds(now):
+            if self.keeper:
+                logger.info("duty of the quotas: ended")
+                self.changed()
+            self.keeper = None
+        elif self.keeper is None:
+            logger.info("duty of the quotas: taken")
+            self.keeper = Keeper(self.bounds, now, self.watch.seen)
+            self.changed()
+
+    def grant_of(self, duty: str) -> tuple[bool, str, float]:
+        grant, now = self.grantor.grants.get(duty), self.clock()
+        return (True, grant.holder, grant.until - now) if grant and now < grant.until else (False, "", 0.0)
+
+    # ---- what others ask over the station ----
+
+    async def meet(self, message: Message) -> Message | None:
+        match message:
+            case Pull():
+                return await self.pulled(message)
+            case Fetch():
+                return Bill(stamp(self.word.version), self.word.body)
+            case Keep():
+                return await self.keep(message)
+            case Tell(rows):
+                now = self.clock()
+                if any([self.register.hear(Row(*row), now) for row in rows]):
+                    self.changed()
+                return Told()
+            case Claim(duty, holder, life, ttl_ms):
+                ok, has, left = False, "", 0.0
+                if self.word.votes():
+                    ok, has, left = self.grantor.ask(duty, holder, life, ttl_ms / 1000, self.clock())
+                return Granted(ok, has, int(left * 1000), self.word.crew.number, self.word.votes())
+            case Draw():
+                return self.draw(message)
+        return None
+
+    async def pulled(self, asked: Pull) -> News:
+        if asked.kind == "harbourmaster":
+            self.meet_core(asked.ip)
+        else:
+            now = self.clock()
+            self.pilots[asked.name] = (Version(*asked.stamp), now, asked.ready)
+            if asked.beat and self.watch.beat(asked.name, now):
+                self.changed()
+        alarm, version = self.alarm, Version(*asked.stamp)
+        known = asked.life == self.life
+        if known and asked.seq >= self.register.seq and self.word.version <= version and asked.wait_ms > 0:
+            try:
+                async with asyncio.timeout(min(asked.wait_ms, 2000) / 1000):
+                    await alarm.wait()
+            except TimeoutError:
+                pass
+        now, crew = self.clock(), self.word.crew
+        rows = self.register.since(asked.seq if known else 0, now)
+        _, keeper, _ = self.grant_of(QUOTAS)
+        return News(self.life, self.register.seq, not known, [told(row) for row in rows], stamp(self.word.version),
+                    self.word.votes(), self.settled(), crew.number, list(crew.names), [self.ip, *self.peers],
+                    list(self.watch.seen), keeper)
+
+    async def keep(self, asked: Keep) -> Kept:
+        version = Version(*asked.stamp)
+        if self.word.rises(version) and asked.body:
+            try:
+                chart = read_chart(asked.body)
+                if chart.version == version:
+                    await self.keep_word(chart)
+            except (Unfit, HoldError) as bad:
+                logger.error("not kept: {}", bad)
+        return Kept(stamp(self.word.version), self.word.crew.number, self.word.votes())
+
+    def draw(self, asked: Draw) -> Drawn:
+        now = self.clock()
+        if not self.keeper or not self.tenure.holds(now):
+            return Drawn(False, [])
+        self.keeper.plans(self.chart.tenants or [] if self.chart else [])
+        return Drawn(True, self.keeper.draw(asked.name, asked.life, asked.deaf_ms / 1000, asked.wants, now))
+
+    # ---- what backends and operators ask at the desk ----
+
+    async def call(self, asked: Asked) -> Answer:
+        match asked:
+            case Beat():
+                return await self.beat(asked)
+            case Leave(instance):
+                row = self.register.leave(instance, self.clock())
+                self.changed()
+                return await self.spread(row, instance)
+            case Replace(chart):
+                return await self.replace(chart)
+            case ReadBack():
+                return await self.read_back()
+            case Look():
+                return Whole(json.dumps(self.look(), indent=1).encode())
+
+    async def beat(self, beat: Beat) -> Answer:
+        row = row_of(beat)
+        if self.register.hear(row, self.clock()):
+            self.changed()
+        self.heard[beat.instance] = None
+        if beat.draining:
+            return await self.spread(self.register.berths[beat.instance].row, beat.instance)
+        return Noted() if self.in_touch() else Unable("cut off from most cores")
+
+    async def spread(self, row: Row, instance: str) -> Answer:
+        """What must not be lost with this core is acknowledged once a majority knows it."""
+        if not self.in_touch():
+            return Unable("cut off from most cores")
+        if await self.tell([row]) < majority(len(self.word.crew.names)):
+            return Unable("too few cores know yet")
+        return Noted()
+
+    async def replace(self, chart: Chart) -> Answer:
+        """Acknowledged once it, or what is above it, is on a majority of the voters' disks."""
+        if not self.word.crew.number:
+            return Unable("who votes is not known yet")
+        if not self.in_touch():
+            return Unable("cut off from most cores")
+        if not self.word.rises(chart.version) and self.chart:
+            chart = self.chart
+        version, done = chart.version, asyncio.Event()
+
+        async def own() -> None:
+            await self.try_disk(self.keep_word(chart))
+            done.set()
+
+        async def one(peer: Peer) -> None:
+            try:
+                kept = await peer.wire.call(Keep(self.word.crew.number, stamp(version), chart.body), limit)
+            except Unheard:
+                return
+            if isinstance(kept, Kept) and peer.vote:
+                crew = peer.vote.crew if kept.crew_number == peer.vote.crew.number else Crew(kept.crew_number)
+                peer.vote = Vote(Version(*kept.stamp), crew, kept.standing)
+                peer.heard_at = self.clock()
+                done.set()
+
+        limit = ANSWER_S + LARGE_S * len(chart.body)
+        until = asyncio.get_running_loop().time() + limit
+        self.spawn(own())
+        for peer in self.peers.values():
+            self.spawn(one(peer))
+        try:
+            async with asyncio.timeout_at(until):
+                while not self.word.kept(version, self.votes()):
+                    await done.wait()
+                    done.clear()
+        except TimeoutError:
+            logger.warning("{} has no majority yet", version)
+            return Unable("no majority holds it yet")
+        return Noted()
+
+    async def read_back(self) -> Answer:
+        async def one(peer: Peer) -> bool:
+            try:
+                await self.pull(peer, 0)
+                return True
+            except Unheard:
+                return False
+
+        asked_at = self.clock()
+        waiting = {asyncio.ensure_future(one(self.peers[name])) for name in self.word.crew.names
+                   if name in self.peers}
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                while True:
+                    fresh = {name: peer.vote for name, peer in self.peers.items()
+                             if peer.vote and peer.heard_at >= asked_at}
+                    newest = self.word.newest(fresh)
+                    if newest is not None and self.word.version >= newest:
+                        break
+                    if not waiting:
+                        return Unable("too few cores answer")
+                    _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        except TimeoutError:
+            return Unable("too few cores answer")
+        finally:
+            for task in waiting:
+                self.tasks.add(task)  # type: ignore[arg-type]
+                task.add_done_callback(self.tasks.discard)
+        if not self.word.body:
+            return Refused(404, "generation", "no configuration has been put yet")
+        return Whole(self.word.body)
+
+    def look(self) -> dict[str, object]:
+        now, crew = self.clock(), self.word.crew
+        return {
+            "name": self.name, "address": self.ip, "version": str(self.word.version), "votes": self.word.votes(),
+            "crew": {"number": crew.number, "voters": list(crew.names)},
+            "in_touch": self.in_touch(), "keeper": self.grant_of(QUOTAS)[1],
+            "cores": {name: {"version": str(peer.vote.version) if peer.vote else None,
+                             "votes": bool(peer.vote and peer.vote.standing),
+                             "silent_s": round(now - peer.heard_at, 2)} for name, peer in self.peers.items()},
+            "pilots": {name: {"version": str(version), "silent_s": round(now - at, 2), "ready": ready}
+                       for name, (version, at, ready) in self.pilots.items()},
+            "backends": {name: {"service": berth.row.service, "address": berth.row.address,
+                                "phase": Phase(berth.row.phase).name.lower(), "zone": berth.row.zone,
+                                "silent_s": round(now - berth.heard_at, 2)}
+                         for name, berth in self.register.berths.items()},
+        }
+
+
+def stamp(version: Version) -> tuple[int, bytes]:
+    return version.number, version.digest
+
+
+def told(row: Row) -> Told_row:
+    return tuple(row)
+
+
+def read_crew(record: dict[bytes, bytes] | None) -> Crew | None:
+    if not record:
+        return None
+    try:
+        return Crew(int(record[b"number"]), int(record[b"ballot"]), tuple(record[b"names"].decode().split(",")),
+                    record[b"sure"] == b"1")
+    except (KeyError, ValueError):
+        return None
--- /dev/null
+++ b/stoneyoke/harbour/register.py
@@ -0,0 +1,113 @@
+"""Berths: the backends as one core knows them, from their own beats and from what other cores tell. Soft state.
+
+Of two tellings of one backend the one with the higher call_seq wins; gone wins over all. So the order in which
+cores hear of it does not matter."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
+
+from stoneyoke.lading.calls import Beat
+
+FORGET_S = 60.0  # gone or silent for so long, it is dropped
+
+
+class Phase(IntEnum):
+    READY = 0
+    SILENT = 1  # no beat for long; it may be back
+    DRAINING = 2
+    GONE = 3
+
+
+class Row(NamedTuple):
+    """A berth as it is told between processes; warm_s: how much longer it is slow, at the time of telling."""
+
+    instance: str
+    address: str
+    service: str
+    zone: str
+    generation: str
+    capacity: int
+    phase: int
+    call_seq: int
+    warm_s: float
+
+
+@dataclass(slots=True)
+class Berth:
+    row: Row
+    heard_at: float
+    told_at: float  # when warm_s was right
+    seq: int = 0  # of this core's news
+
+    def told(self, now: float) -> Row:
+        return self.row._replace(warm_s=max(0.0, self.row.warm_s - (now - self.told_at)))
+
+
+def row_of(beat: Beat) -> Row:
+    return Row(beat.instance, beat.address, beat.service, beat.zone, beat.generation, beat.capacity,
+               Phase.DRAINING if beat.draining else Phase.READY, beat.call_seq, beat.warm_s)
+
+
+class Register:
+    """silent_s: without a beat for so long, a berth counts as silent."""
+
+    def __init__(self, silent_s: float) -> None:
+        self.silent_s = silent_s
+        self.berths: dict[str, Berth] = {}  # emptied by sweep()
+        self.seq = 0  # rises with each change that others must hear of
+
+    def changed(self, berth: Berth) -> None:
+        self.seq += 1
+        berth.seq = self.seq
+
+    def hear(self, row: Row, now: float) -> bool:
+        """A beat, or another core's telling of one. Whether it is news for others."""
+        berth = self.berths.get(row.instance)
+        if berth is None:
+            berth = self.berths[row.instance] = Berth(row, now, now)
+            self.evict(row, now)
+            self.changed(berth)
+            return True
+        old = berth.row
+        if old.phase == Phase.GONE or row.phase != Phase.GONE and row.call_seq <= old.call_seq:
+            return False
+        berth.row, berth.heard_at, berth.told_at = row, now, now
+        # A beat that tells nothing new is no news: hundreds come in a second.
+        if old._replace(call_seq=0, warm_s=0.0) == row._replace(call_seq=0, warm_s=0.0):
+            return False
+        self.changed(berth)
+        return True
+
+    def leave(self, instance: str, now: float) -> Row:
+        """It has ended; what is told of it later is old."""
+        berth = self.berths.get(instance)
+        row = berth.row if berth else Row(instance, "0.0.0.0:1", "", "", "", 0, 0, 0, 0.0)
+        row = row._replace(phase=int(Phase.GONE))
+        self.hear(row, now)
+        return row
+
+    def evict(self, row: Row, now: float) -> None:
+        """An address has a new tenant: whoever was there before is silent, if it isn't gone."""
+        for other in self.berths.values():
+            if other.row.address == row.address and other.row.instance != row.instance and (
+                    other.row.phase < Phase.GONE):
+                other.row = other.row._replace(phase=int(Phase.SILENT))
+                self.changed(other)
+
+    def sweep(self, now: float) -> None:
+        for name, berth in list(self.berths.items()):
+            quiet = now - berth.heard_at
+            if quiet > FORGET_S:
+                del self.berths[name]
+            elif quiet > self.silent_s and berth.row.phase == Phase.READY:
+                berth.row = berth.row._replace(phase=int(Phase.SILENT))
+                self.changed(berth)
+
+    def since(self, seq: int, now: float) -> list[Row]:
+        """What has changed after seq."""
+        return [berth.told(now) for berth in self.berths.values() if berth.seq > seq]
+
+    def heard(self, names: Iterable[str], now: float) -> list[Row]:
+        return [self.berths[name].told(now) for name in names if name in self.berths]
--- /dev/null
+++ b/stoneyoke/harbour/word.py
@@ -0,0 +1,108 @@
+"""The operator's word at one core: the highest configuration it was told, who votes, and whether it votes itself.
+
+A configuration is a register that only rises, so no order of messages matters; who votes is a numbered list that
+changes by one member at a time (docs/design/system.md)."""
+
+from dataclasses import dataclass, replace
+
+from stoneyoke.harbour.quorum import copies, majority
+from stoneyoke.lading.charts import Version
+
+NOTHING = Version()
+
+
+@dataclass(frozen=True, slots=True)
+class Crew:
+    """Who votes: addresses of cores. number 0: not known. ballot orders rival lists of one number. sure: a
+    majority of this list and of the one before hold it, and what was acknowledged before is held by a majority
+    of this one."""
+
+    number: int = 0
+    ballot: int = 0
+    names: tuple[str, ...] = ()
+    sure: bool = False
+
+    def after(self, other: "Crew") -> bool:
+        return (self.number, self.ballot, self.sure) > (other.number, other.ballot, other.sure)
+
+
+@dataclass(frozen=True, slots=True)
+class Vote:
+    """What a core says of itself."""
+
+    version: Version
+    crew: Crew
+    standing: bool
+
+
+class Word:
+    def __init__(self, own: str) -> None:
+        self.own = own
+        self.version, self.body = NOTHING, b""
+        self.crew = Crew()
+        # It counts as a voter: its disk has been whole since it joined, or it has copied enough since.
+        self.standing = False
+
+    def found(self, crew: Crew | None, standing: bool, version: Version, body: bytes) -> None:
+        """What the disk holds at the start."""
+        self.crew, self.standing = crew or Crew(), standing and crew is not None
+        self.version, self.body = version, body
+
+    def first(self, seeds: tuple[str, ...]) -> None:
+        """The very first start, on empty disks: all are told the same seeds, and they vote."""
+        self.crew = Crew(1, 0, tuple(sorted(seeds)), True)
+        self.standing = self.own in self.crew.names
+
+    def rises(self, version: Version) -> bool:
+        return version > self.version
+
+    def hold(self, version: Version, body: bytes) -> None:
+        """It is on this core's disk now."""
+        if self.rises(version):
+            self.version, self.body = version, body
+
+    def votes(self) -> bool:
+        return self.standing and self.own in self.crew.names
+
+    def vote(self) -> Vote:
+        return Vote(self.version, self.crew, self.votes())
+
+    def holders(self, version: Version, votes: dict[str, Vote]) -> int:
+        """How many voters hold this version or a higher one, by what they said themselves, this one included."""
+        said = votes | {self.own: self.vote()}
+        return sum(name in said and said[name].standing and said[name].crew.number == self.crew.number
+                   and said[name].version >= version for name in self.crew.names)
+
+    def kept(self, version: Version, votes: dict[str, Vote]) -> bool:
+        """Enough voters hold it that it may be acknowledged."""
+        return self.crew.number > 0 and self.holders(version, votes) >= majority(len(self.crew.names))
+
+    def newest(self, votes: dict[str, Vote]) -> Version | None:
+        """The highest version of enough voters that all that was acknowledged is no higher; None: too few."""
+        said = votes | {self.own: self.vote()}
+        heard = [said[name].version for name in self.crew.names
+                 if name in said and said[name].standing and said[name].crew.number == self.crew.number]
+        if self.crew.number == 0 or len(heard) < copies(len(self.crew.names)):
+            return None
+        return max(heard)
+
+    def may_stand(self, votes: dict[str, Vote]) -> bool:
+        """A voter without a vote may have it back: enough others of the same list have told what they hold, and
+        it holds no less. Its own copy does not count: it may have lost one that it had acknowledged."""
+        others = {name: vote for name, vote in votes.items() if name != self.own}
+        newest = replace_own(self).newest(others)
+        return (self.own in self.crew.names and self.crew.sure and not self.standing
+                and newest is not None and self.version >= newest)
+
+    def learn_crew(self, votes: dict[str, Vote]) -> Crew | None:
+        """A newer list of voters that another core tells of."""
+        newest = max((vote.crew for vote in votes.values()),
+                     key=lambda crew: (crew.number, crew.ballot, crew.sure), default=Crew())
+        return newest if newest.after(self.crew) else None
+
+
+def replace_own(word: Word) -> Word:
+    """The same core as one that votes for nothing."""
+    bare = Word(word.own)
+    bare.crew = replace(word.crew)
+    return bare
--- /dev/null
+++ b/stoneyoke/hold/__init__.py
@@ -0,0 +1,1 @@
+"""What a core keeps on its disk."""
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -49,6 +49,7 @@
     deadline_us: int  # over all tries of a client
     memory_us: int
     utility: float
+    tries: int = 0  # call-outs at most; 0: as the terms say
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,10 @@
     warm_up_us: int
     push_over_factor: float
     push_over_us: int
+    # Call-outs beyond an RPC's first: units earned by an RPC, and by a second; held at most. 0: not limited.
+    further_ratio: float = 0.0
+    further_rate: float = 0.0
+    further_depth: float = 0.0
 
 
 # ---- events: what the control module is told ----
@@ -173,7 +178,15 @@
     probed: frozenset[int]
 
 
-Event = Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | TimerFired | FleetNews | Hearsay
+@dataclass(frozen=True, slots=True)
+class NewTerms:
+    """The terms have changed. Methods keep their numbers, new ones follow."""
+
+    terms: Terms
+
+
+Event = (Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | TimerFired | FleetNews | Hearsay
+         | NewTerms)
 
 
 # ---- actions: what the control module asks for ----
@@ -190,6 +203,7 @@
 class PushBack:
     rpc: int
     wait_us: int
+    pressed: bool = False  # the back end is, not the customer's quota
 
 
 @dataclass(slots=True)
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -42,6 +42,7 @@
         self.clock, self.tally, self.room, self.answer_top = clock, tally, room, answer_top
         self.dial_s, self.idle_us = dial_us / 1_000_000, int(idle_us * IDLE_PART)
         self.sites: dict[int, Site] = {}  # by backend; emptied by forget()
+        self.judge = outcome  # what an answer, or the end of the stream in its place, tells
         self.takes: Callable[[int], bool] = lambda _: True  # new work; set by whoever knows discovery's list
         room.victims.append(self.idle_longest)
 
@@ -67,9 +68,10 @@
         self.room.free()
         link.close()
 
-    async def call_out(self, held: Held, n: int, backend: int, head: list[bytes], body: bytes,
-                       until: int) -> tuple[Outcome, Message | None]:
-        """One call-out, ended by an answer, a fault, the module's call-off or the given time."""
+    async def call_out(self, held: Held, n: int, backend: int, head: list[bytes], body: bytes, until: int,
+                       ours: Callable[[Message], bool] | None = None) -> tuple[Outcome, Message | None]:
+        """One call-out, ended by an answer, a fault, the module's call-off or the given time. An answer that
+        isn't ours came late or was sent twice: the next one on the connection may be."""
         site = self.sites.get(backend)
         if site is None:
             return Outcome.NOT_SENT, None
@@ -102,6 +104,9 @@
                     return Outcome.CUT, None
                 whole = True
                 answer = await link.answers.next()
+                while ours and answer and not ours(answer):
+                    self.tally.add("answers of backends: to something else")
+                    answer = await link.answers.next()
         except TimeoutError:
             if not scope.expired():
                 return Outcome.NO_CONNECTION, None
@@ -124,7 +129,7 @@
                 self.put_back(site, link)
             elif link:
                 self.drop(link)
-        return outcome(answer), answer
+        return self.judge(answer), answer
 
     async def connect(self, site: Site) -> Link:
         """A new connection, for which there is room."""
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -4,14 +4,16 @@
 import contextlib
 import sys
 from functools import partial
-from typing import cast
+from typing import Any, cast
 
 from loguru import logger
 
 from stoneyoke.interface import Abort, CallOut, Outcome, PushBack
 from stoneyoke.net.asked import TEXT, Asked, Names
 from stoneyoke.net.backends import Backends
-from stoneyoke.net.http import Line, Malformed, Message, Messages, status_line, unread, write_message
+from stoneyoke.net.http import (
+    BODY_TOP, HEAD_TOP, Line, Malformed, Message, Messages, status_line, unread, write_message,
+)
 from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held, Runtime
 from stoneyoke.tally import Tally
@@ -63,8 +65,8 @@
 
 
 class Clients:
-    def __init__(self, clock: Clock, tally: Tally, runtime: Runtime, backends: Backends, names: Names,
-                 slack_us: int, room: Room, descriptors: int) -> None:
+    def __init__(self, clock: Clock, tally: Tally, runtime: Runtime | Any, backends: Backends,
+                 names: Names | Any, slack_us: int, room: Room, descriptors: int) -> None:
         self.clock, self.tally, self.runtime, self.backends = clock, tally, runtime, backends
         self.names, self.slack_us, self.room = names, slack_us, room
         # The operators' page: clients open a third of the descriptors at most for RPCs. What is kept open, by
@@ -77,7 +79,11 @@
         self.ids: set[bytes] = set()  # of RPCs that are held; emptied as they are let go
         self.informed = asyncio.Event()  # set by discovery's first word: no RPC is sent on before
         self.ending = False
-        self.longest_s = max(method.deadline_us for method in runtime.terms.methods) / 1_000_000
+        self.part_us, self.idle_us = PART_US, PART_US  # a message's time; how long a connection may be idle
+        self.head_top, self.body_top = HEAD_TOP, BODY_TOP
+        self.longest_s = SHORTEST_S  # the longest deadline
+        if isinstance(runtime, Runtime):
+            self.longest_s = max(method.deadline_us for method in runtime.terms.methods) / 1_000_000
         self.last_at = sys.maxsize  # by when all must be answered; set by SIGTERM
 
     def line(self) -> Line:
@@ -94,6 +100,7 @@
             self.tally.add("connections of clients: no descriptor left")
             return writer.transport.abort()
         client = self.open[writer] = Client(line, writer, self.runtime.came())
+        client.messages.head_top, client.messages.body_top = self.head_top, self.body_top
         self.fresh[client] = None
 
         def came() -> None:
@@ -107,7 +114,7 @@
         def gone() -> None:
             client.gone = True
             if client.held:
-                self.runtime.client_gone(client.held)
+                client.held.home.client_gone(client.held)
 
         self.tally.add("connections of clients")
         line.on_bytes, line.on_close = came, gone
@@ -252,7 +259,7 @@
         now = self.clock.now()
         for client in list(self.open.values()):
             age = now - (client.met if client.fresh else client.since)
-            if client.over or client.held or age < PART_US:
+            if client.over or client.held or age < (self.idle_us if client.idle else self.part_us):
                 continue
             if client.whole:
                 if age >= UNTAKEN_US:
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -84,10 +84,11 @@
 class Message:
     """A message: its first line's parts, its headers by lower-case name, its body."""
 
-    __slots__ = ("body", "headers", "keeps", "method", "repeated", "status", "target")
+    __slots__ = ("body", "fields", "headers", "keeps", "method", "repeated", "status", "target")
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}
+        self.fields: list[tuple[bytes, bytes]] = []  # the headers as they came
         self.repeated: set[bytes] = set()
         self.method = self.target = self.body = b""
         self.status = 0
@@ -98,7 +99,7 @@
     """The messages that come over one connection: what clients ask, or (answers=True) answers."""
 
     def __init__(self, reader: asyncio.StreamReader, *, answers: bool, body_top: int = BODY_TOP) -> None:
-        self.reader, self.answers, self.body_top = reader, answers, body_top
+        self.reader, self.answers, self.body_top, self.head_top = reader, answers, body_top, HEAD_TOP
         kind = httptools.HttpResponseParser if answers else httptools.HttpRequestParser
         self.parser: Any = kind(self)
         self.whole: deque[Message] = deque()  # no more than one piece read can hold
@@ -134,8 +135,8 @@
                 pass  # on_headers_complete() has made it a fault
             except httptools.HttpParserError as bad:
                 self.fault = self.fault or Malformed(f"no HTTP/1.1: {bad}")
-            if self.in_head and self.size > HEAD_TOP:
-                self.fault = self.fault or Malformed("head over 16 KiB", 431)
+            if self.in_head and self.size > self.head_top:
+                self.fault = self.fault or Malformed(f"head over {self.head_top} bytes", 431)
             elif self.raw > FRAMED * self.body_top:
                 self.fault = self.fault or Malformed("a message without end", 413)
         return self.whole.popleft()
@@ -162,6 +163,7 @@
         if not self.in_head:  # after a body in chunks: counted with it, and of no meaning here
             self.size += len(name) + len(value)
         elif self.begun:
+            self.begun.fields.append((name, value))
             name = name.lower()
             if name in self.begun.headers:
                 self.begun.repeated.add(name)
--- /dev/null
+++ b/stoneyoke/pilotage/admission.py
@@ -0,0 +1,87 @@
+"""The system's admission stage (SYSTEM, The design in the system): before routing, a tenant's request passes or is
+refused at once. Units come from the one store that a keeper holds (limits/shares.py); while that is silent, from
+the slice of it that counted demand told last, the even one for a tenant not told of."""
+
+from dataclasses import replace
+
+from stoneyoke.control.quotas import Customer, Quotas
+from stoneyoke.interface import Arrival, Effect, Group, Method, Plan, Terms
+from stoneyoke.limits.shares import DEAF_S, Purse
+from stoneyoke.limits.stores import SECOND
+from stoneyoke.pilotage.routes import Tenant
+
+LONG_AGO = 3600 * SECOND
+
+
+def terms(seed: int) -> Terms:
+    """Of a stage that sends nothing itself: a request is a unit."""
+    any_method = Method(Effect.NON_IDEMPOTENT, Group.CELL, SECOND, SECOND, 0, 1.0)
+    return Terms(seed, 1, 0, 0, (any_method,), (), 1, False, False, False, True, False, False, 1.0, 1.0, 1, 1.0, 1)
+
+
+class Admission(Quotas):
+    def __init__(self, seed: int, now: int, slack: float) -> None:
+        """slack: units that slices together may begin with when the keeper falls silent."""
+        super().__init__(terms(seed), now)
+        self.slack, self.heard_at = slack, now - LONG_AGO
+        self.indices: dict[str, int] = {}  # tenants that have come; no more than the operator names
+        self.purses: dict[str, Purse] = {}
+        self.alone_at: dict[int, int] = {}  # since when a tenant is served from its slice
+
+    def call(self, tenant: Tenant, wait_us: int) -> Arrival:
+        """A request of a tenant, in the terms of the decisions."""
+        index = self.indices.setdefault(tenant.label, len(self.indices))
+        plan = Plan(tenant.rate, max(1.0, tenant.burst), 1.0, 0, 0.0, 0.0)
+        if tenant.label not in self.purses:
+            self.purses[tenant.label] = Purse()
+            self.terms = replace(self.terms, plans=(*self.terms.plans, plan))
+        elif self.terms.plans[index] != plan:  # a configuration has changed it
+            plans = (*self.terms.plans[:index], plan, *self.terms.plans[index + 1:])
+            self.terms = replace(self.terms, plans=plans)
+            if customer := self.customers.get(index):
+                customer.plan = plan
+        return Arrival(0, 0, index, index, index, wait_us, 1.0, self.terms.gateways)
+
+    def among(self, gateways: int) -> None:
+        self.terms = replace(self.terms, gateways=max(1, gateways))
+
+    def heard(self, now: int) -> None:
+        """The keeper has answered."""
+        self.heard_at = now
+
+    def deaf(self) -> bool:
+        return self.now - self.heard_at > DEAF_S * SECOND
+
+    def knock(self, call: Arrival, purse: Purse, now: int) -> int | None:
+        """0: it passes. Else the wait that its refusal states; None: the keeper has to be asked."""
+        self.now = now
+        customer = self.customer(call)
+        customer.tries += 1
+        purse.count(call.units, now / SECOND)
+        if purse.take(call.units):
+            return 0
+        if self.deaf():
+            return self.alone(customer, call, purse)
+        shut = int(purse.shut_until * SECOND) - now
+        return self.advised(customer, shut) if shut > 0 else None
+
+    def answered(self, call: Arrival, purse: Purse, now: int) -> int:
+        """After the keeper has answered, or has not in time."""
+        self.now = now
+        customer = self.customer(call)
+        if purse.take(call.units):
+            return 0
+        shut = int(purse.shut_until * SECOND) - now
+        return self.advised(customer, shut) if shut > 0 else self.alone(customer, call, purse)
+
+    def alone(self, customer: Customer, call: Arrival, purse: Purse) -> int:
+        if self.alone_at.get(call.customer, -LONG_AGO) < self.heard_at:
+            self.alone_at[call.customer] = self.now
+            customer.store.level, customer.store.at = min(1.0, self.slack / self.terms.gateways), self.now
+        even = 1 / self.terms.gateways
+        customer.take_slice(max(purse.part or even, 0.1 * even), self.now)
+        wait = self.slice_wait(customer, call)
+        if wait > 0:
+            return self.advised(customer, wait)
+        customer.store.level -= call.units
+        return 0
--- /dev/null
+++ b/stoneyoke/pilotage/asked.py
@@ -0,0 +1,69 @@
+"""What a request's head says, read strictly (PROTOCOL, Requests), and the head that goes on to a backend. No I/O."""
+
+import re
+
+from stoneyoke.net.http import Malformed, Message
+
+HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
+                 b"upgrade", b"content-length", b"proxy-authorization", b"proxy-authenticate"))
+# Never passed on as the client sent them: the key, and what only this system says.
+OWN = frozenset((b"api-key", b"tenant", b"expect-instance", b"deadline-ms"))
+ONCE = frozenset((b"host", b"attempt-id", b"deadline-ms", b"api-key"))
+SEEN = re.compile(rb"[!-~]{1,255}").fullmatch
+TARGET = re.compile(rb"/[!-~]*").fullmatch
+WHOLE = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,20})?").fullmatch
+HOST = re.compile(rb"[!-~]{1,255}").fullmatch
+METHOD = re.compile(rb"[A-Z]{1,20}").fullmatch
+
+
+class Request:
+    """wait_us: how long the client waits, None if it doesn't say."""
+
+    __slots__ = ("host", "id", "key", "path", "wait_us")
+
+    def __init__(self, message: Message) -> None:
+        if message.repeated and (twice := message.repeated & ONCE):
+            raise Malformed(f"{min(twice).decode()} comes twice")
+        headers = message.headers
+        host, mark = headers.get(b"host", b""), headers.get(b"attempt-id", b"")
+        if not HOST(host):
+            raise Malformed("host is missing or can not be read")
+        if not SEEN(mark):
+            raise Malformed("attempt-id is missing or can not be read")
+        if not TARGET(message.target) or not METHOD(message.method):
+            raise Malformed("a target or method that can not be read")
+        if message.method == b"HEAD":
+            raise Malformed("HEAD is not served here", 501)
+        self.id = mark
+        name, _, port = host.partition(b":")
+        self.host = (name if port.isdigit() or not port else host).decode("ascii").lower()
+        self.path = message.target.partition(b"?")[0].decode("ascii")
+        self.key = headers.get(b"api-key", b"").decode("latin-1")
+        wait = headers.get(b"deadline-ms")
+        if wait is not None and not WHOLE(wait):
+            raise Malformed("deadline-ms is no number")
+        self.wait_us = None if wait is None else int(float(wait) * 1000)
+
+
+def head_on(message: Message, instance: str, tenant: str, wait_us: int) -> list[bytes]:
+    """A call-out's head: what came, less what concerns one connection, and what this system says."""
+    named = {name.strip().lower() for name in message.headers.get(b"connection", b"").split(b",")}
+    lines = [message.method, b" ", message.target, b" HTTP/1.1\r\n"]
+    for name, value in message.fields:
+        lower = name.lower()
+        if lower not in HOP and lower not in OWN and lower not in named:
+            lines += (name, b": ", value, b"\r\n")
+    lines.append(b"Deadline-Ms: %d\r\nExpect-Instance: %s\r\n" % (max(1, wait_us // 1000), instance.encode()))
+    if tenant:
+        lines.append(b"Tenant: %s\r\n" % tenant.encode())
+    if message.body or message.method not in (b"GET", b"DELETE", b"OPTIONS") or (
+            b"content-length" in message.headers or b"transfer-encoding" in message.headers):
+        lines.append(b"Content-Length: %d\r\n" % len(message.body))
+    return lines
+
+
+def head_back(answer: Message) -> bytes:
+    """The headers of a backend's answer for the client; its length is set by whoever writes it."""
+    named = {name.strip().lower() for name in answer.headers.get(b"connection", b"").split(b",")}
+    return b"".join(b"%s: %s\r\n" % (name, value) for name, value in answer.fields
+                    if (lower := name.lower()) not in HOP and lower not in named)
--- /dev/null
+++ b/stoneyoke/pilotage/fairway.py
@@ -0,0 +1,189 @@
+"""A request's way through a gateway: route, key, admission, a backend, its answer. `Fairway.life` tells it whole."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from stoneyoke.interface import Abort, CallOut, Outcome, PushBack
+from stoneyoke.net.backends import Backends
+from stoneyoke.net.clients import CROSSING_S, Client, Clients
+from stoneyoke.net.http import Message
+from stoneyoke.net.room import Room
+from stoneyoke.pilotage.admission import Admission
+from stoneyoke.pilotage.asked import Request, head_back, head_on
+from stoneyoke.pilotage.piers import RANKS, Pier, Piers
+from stoneyoke.pilotage.roster import Roster
+from stoneyoke.pilotage.routes import Route, Table, Tenant
+from stoneyoke.pilotage.teller import Teller
+from stoneyoke.runtime import Clock, Held
+from stoneyoke.tally import Tally
+
+SLACK_US = 15_000  # before the client's time is up, so that the answer is there
+NO_TABLE_US = 500_000
+STAY_S = 3.2  # after SIGTERM, at most half of the grace: a look a second, two misses, and what was on its way
+END_S = 0.4  # before the grace ends, all is answered
+NONE = Tenant("", 0, 0.0, 0.0)
+Reply = tuple[int, bytes, bytes]  # status, body, headers; status 0: nobody waits
+
+
+class Steady:
+    """What the connections of clients need of a runtime, where each service has one of its own."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+
+    def came(self) -> int:
+        return self.clock.now()
+
+    async def catch_up(self) -> None:
+        pass
+
+
+class Fairway(Clients):
+    """table: the configuration in force, swapped whole; None before the first."""
+
+    admission: Admission
+    teller: Teller
+    piers: Piers
+    roster: Roster
+    draw: Callable[[], float]
+    table: Table | None = None
+    leaving = False  # after SIGTERM: answers say that their connection closes
+    body_most = 1 << 24
+
+    def __init__(self, clock: Clock, tally: Tally, room: Room, descriptors: int, backends: Backends) -> None:
+        super().__init__(clock, tally, Steady(clock), backends, None, SLACK_US, room, descriptors)
+        self.informed.set()
+
+    def take(self, table: Table) -> None:
+        """From here on this version decides: never an older one in this life."""
+        if self.table is None or table.version > self.table.version:
+            self.table = table
+            self.head_top, self.idle_us = table.head_top, table.idle_us
+            self.part_us = table.head_us
+            self.body_top = min(table.body_top, self.body_most)
+
+    async def leave(self, grace_s: float, shut: Callable[[], None]) -> None:
+        """After SIGTERM: serves on while clients may still be sent here, then closes what is idle, then ends what
+        is owed. The platform looks once a second and needs two misses."""
+        stay_s = min(STAY_S, 0.5 * grace_s)
+        self.last_at = self.clock.now() + int((grace_s - END_S) * 1_000_000)
+        await asyncio.sleep(stay_s)
+        self.ending = True
+        for client in list(self.open.values()):
+            if client.idle and client.quiet():
+                client.writer.close()
+        await asyncio.sleep(CROSSING_S)
+        shut()
+        self.longest_s = max(0.1, grace_s - stay_s - CROSSING_S - END_S)
+        await self.answer_held()
+
+    async def answer(self, client: Client, message: Message) -> None:
+        if self.leaving:
+            message.keeps = False
+        await super().answer(client, message)
+
+    async def life(self, client: Client, message: Message) -> Reply:
+        """One request, from its head to its answer."""
+        request, table = Request(message), self.table
+        self.tally.add("requests")
+        if table is None:
+            return self.own(503, "no configuration yet", request, NO_TABLE_US)
+        route = table.find(request.host, request.path)
+        if route is None:
+            return self.own(404, "no such route", request)
+        tenant = NONE
+        if table.keys is not None:
+            known = table.keys.get(request.key)
+            if known is None and not route.public:
+                return self.own(401, "unknown key", request)
+            tenant = known or NONE
+        now = self.clock.now()
+        wait_us = route.timeout_us if request.wait_us is None else min(request.wait_us, route.timeout_us)
+        until = client.since + wait_us - SLACK_US
+        if until <= now:
+            return self.own(503, "its time is up", request, route.target_us)
+        if tenant.rate > 0 and (refused := await self.admit(tenant, until - now)):
+            self.tally.add("requests: over quota")
+            return self.own(429, f"over the quota of {tenant.label}", request, refused)
+        if client.gone:
+            return 0, b"", b""
+        return await self.forward(client, message, request, route, tenant, until)
+
+    async def admit(self, tenant: Tenant, wait_us: int) -> int:
+        """0: it passes; else the wait to state."""
+        call = self.admission.call(tenant, wait_us)
+        purse = self.admission.purses[tenant.label]
+        verdict = self.admission.knock(call, purse, self.clock.now())
+        if verdict is None:
+            await self.teller.ask(tenant.label)
+            verdict = self.admission.answered(call, purse, self.clock.now())
+        return verdict
+
+    async def forward(self, client: Client, message: Message, request: Request, route: Route, tenant: Tenant,
+                      until: int) -> Reply:
+        pier = self.piers.pier(route.service(self.draw()))
+        method = self.piers.method(pier, route)
+        held = client.held = pier.runtime.take_in(method, min(tenant.rank, RANKS - 1), 0, until, 1.0, 1.0, None)
+        last: Message | None = None  # a backend's own failure, passed on where nothing better comes
+        unrun = True
+        try:
+            while True:
+                match await held.wish(until):
+                    case None if held.gone:
+                        return 0, b"", b""
+                    case None if unrun:
+                        return self.own(503, "no backend in time", request, route.target_us)
+                    case PushBack(_, wait) if last is None and (unrun or not route.pure):
+                        self.tally.add("requests: pressed")
+                        return self.own(503, "the service is full", request, wait)
+                    case CallOut(_, backend, _):
+                        n, now = held.calls, self.clock.now()
+                        held.calls += 1
+                        outcome, answer = await self.call_out(pier, held, n, backend, message, request, tenant,
+                                                              until, now)
+                        if outcome not in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.CUT,
+                                           Outcome.NOT_SENT):
+                            unrun = False
+                        last = answer if outcome is Outcome.ERROR else None
+                        pier.runtime.call_out_ended(held, n, backend, outcome)
+                        if held.gone:
+                            return 0, b"", b""
+                        if outcome is Outcome.OK and answer:
+                            return answer.status, answer.body, head_back(answer)
+                        if outcome is Outcome.TIMED_OUT:
+                            return self.own(504, "no answer in time", request)
+                    case wish:
+                        self.tally.must(isinstance(wish, Abort | PushBack) or wish is None, "an unknown wish")
+                        if last:
+                            return last.status, last.body, head_back(last)
+                        return self.own(502, "it may have run, and no answer came", request)
+        finally:
+            client.held = None
+            pier.runtime.let_go(held)
+
+    async def call_out(self, pier: Pier, held: Held, n: int, backend: int, message: Message, request: Request,
+                       tenant: Tenant, until: int, now: int) -> tuple[Outcome, Message | None]:
+        mooring = self.piers.at.get(backend)
+        if mooring is None:
+            return Outcome.NOT_SENT, None
+        instance = mooring.row.instance
+        outcome, answer = await self.backends.call_out(
+            held, n, backend, head_on(message, instance, tenant.label, until - now), message.body, until,
+            lambda answer: answer.headers.get(b"attempt-id") == request.id)
+        self.tally.add(f"call-outs: {outcome.value}")
+        if outcome is Outcome.TURNED_AWAY and answer and answer.status == 421:
+            other = answer.headers.get(b"instance-id", b"").decode("latin-1")
+            if other != instance:  # somebody else lives there now
+                self.roster.lost(instance, time.monotonic())
+                self.piers.renew()
+        return outcome, answer
+
+    def own(self, status: int, why: str, request: Request, wait_us: int = 0) -> Reply:
+        """This system's own answer; with a wait it says when to come back."""
+        self.tally.add(f"answers: {status}")
+        more = b"Content-Type: text/plain\r\nAttempt-Id: %s\r\n" % request.id
+        if wait_us:
+            more += b"Retry-After: %.3f\r\n" % (wait_us / 1_000_000)
+        return status, why.encode() + b"\n", more
+
--- /dev/null
+++ b/stoneyoke/pilotage/lookout.py
@@ -0,0 +1,87 @@
+"""A gateway's ears: pulls from every core what it lacks, fetches configurations, beats to its watchers."""
+
+import asyncio
+import secrets
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from stoneyoke.harbour.ring import watchers
+from stoneyoke.lading.charts import Chart, Version, read_chart
+from stoneyoke.lading.tables import Unfit
+from stoneyoke.pilotage.roster import Roster
+from stoneyoke.signals.messages import Bill, Fetch, News, Pull
+from stoneyoke.signals.wires import Unheard, Wire
+
+CALL_S = 0.6
+WAIT_MS = 400  # how long a core may hold a pull until there is news
+PAUSE_S = 0.15
+
+
+class Lookout:
+    """take: called with each newer configuration; told: when anything was heard."""
+
+    def __init__(self, name: str, ip: str, zone: str, port: int, roster: Roster, take: Callable[[Chart], None],
+                 told: Callable[[], None]) -> None:
+        self.name, self.ip, self.zone, self.port = name, ip, zone, port
+        self.roster, self.take, self.told = roster, take, told
+        self.life = secrets.token_hex(6)
+        self.version = Version()
+        self.ready = False
+        self.wires: dict[str, Wire] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.fetching = asyncio.Lock()
+
+    def follow_all(self) -> None:
+        for name in list(self.roster.sources):
+            if name not in self.wires:
+                self.wires[name] = Wire((name, self.port))
+                task = asyncio.get_running_loop().create_task(self.follow(name))
+                self.tasks.add(task)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    async def follow(self, name: str) -> None:
+        while True:
+            try:
+                await self.pull(name)
+            except Unheard:
+                await asyncio.sleep(PAUSE_S)
+            except Exception:
+                logger.exception("pulling from {} failed", name)
+                await asyncio.sleep(1.0)
+
+    async def pull(self, name: str) -> None:
+        source = self.roster.sources[name]
+        beat = name in watchers(self.name, self.roster.sources)
+        news = await self.wires[name].call(Pull(
+            self.name, self.ip, "pilot", self.zone, source.life, source.seq,
+            (self.version.number, self.version.digest), self.ready, beat, WAIT_MS, self.life),
+            CALL_S + WAIT_MS / 1000)
+        if not isinstance(news, News):
+            raise Unheard("an answer of another kind")
+        self.roster.hear(name, news, time.monotonic())
+        self.follow_all()
+        if Version(*news.stamp) > self.version:
+            await self.fetch(name)
+        self.told()
+
+    async def fetch(self, name: str) -> None:
+        async with self.fetching:
+            source = self.roster.sources[name]
+            if not source.news or Version(*source.news.stamp) <= self.version:
+                return
+            bill = await self.wires[name].call(Fetch(), CALL_S + 2.0)
+        if not isinstance(bill, Bill):
+            raise Unheard("an answer of another kind")
+        try:
+            chart = read_chart(bill.body)
+        except Unfit as bad:
+            logger.error("a configuration from {} can't be read: {}", name, bad)
+            return
+        if chart.version > self.version:  # within one life nothing goes back
+            self.version = chart.version
+            self.take(chart)
--- /dev/null
+++ b/stoneyoke/pilotage/piers.py
@@ -0,0 +1,148 @@
+"""One module of decisions for each service, all over one pool of connections: its terms, its fleet, its doubts."""
+
+import time
+import zlib
+from dataclasses import dataclass
+
+from stoneyoke.door import Door
+from stoneyoke.harbour.register import Phase
+from stoneyoke.interface import (
+    Effect, FleetNews, Group, Hearsay, Listed, Method, NewTerms, Outcome, Plan, State, Terms,
+)
+from stoneyoke.net.backends import Backends
+from stoneyoke.net.http import Message
+from stoneyoke.pilotage.roster import Mooring, Roster
+from stoneyoke.pilotage.routes import Route
+from stoneyoke.runtime import Clock, Runtime
+from stoneyoke.tally import Tally
+
+WARM_UP_US = 3_000_000  # backends say how much longer they are slow; all are taken to begin this long before
+RANKS = 8  # of tenants and routes; beyond, all weigh the same
+BUDGET_PART = 0.5  # of the system's slack for further tries: the rest is for lists that differ and restarts
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What a gateway knows of its own kind: how many they are, and its own place among them."""
+
+    gateways: int = 1
+    own: int = 0
+
+
+class Pier:
+    """A service as this gateway serves it."""
+
+    def __init__(self, service: str, terms: Terms, clock: Clock, tally: Tally) -> None:
+        self.service = service
+        self.runtime = Runtime(terms, clock, tally)
+        self.methods: dict[tuple[bool, int, int, int], int] = {}  # numbers; a life sees few kinds of routes
+
+
+class Piers:
+    def __init__(self, clock: Clock, tally: Tally, backends: Backends, roster: Roster, zones: tuple[str, ...],
+                 zone: str, seed: int, bounds: dict[str, float]) -> None:
+        self.clock, self.tally, self.backends, self.roster = clock, tally, backends, roster
+        self.zones, self.zone, self.seed, self.bounds = list(zones), zone, seed, bounds
+        self.piers: dict[str, Pier] = {}
+        self.indices = Door[str]()  # backends, by instance
+        self.at: dict[int, Mooring] = {}  # listed backends, by index
+        self.fleet, self.turn = Fleet(), -1
+        self.backends.takes = self.takes
+
+    def takes(self, backend: int) -> bool:
+        mooring = self.at.get(backend)
+        return mooring is not None and mooring.row.phase != Phase.DRAINING and (
+            mooring.row.instance not in self.roster.gone)
+
+    def zone_of(self, name: str) -> int:
+        if name not in self.zones:
+            self.zones.append(name)
+        return self.zones.index(name)
+
+    def terms(self, methods: tuple[Method, ...]) -> Terms:
+        ratio, window = self.bounds["retry_ratio"], self.bounds["retry_window_s"]
+        slack = self.bounds["retry_slack"] * BUDGET_PART / self.fleet.gateways
+        return Terms(
+            self.seed, self.fleet.gateways, self.fleet.own, self.zone_of(self.zone), methods,
+            tuple(Plan(0.0, 0.0, 1 / (1 + rank), 0, 0.0, 0.0) for rank in range(RANKS)),
+            1000, True, False, False, True, False, False, 1.0, 0.5, WARM_UP_US, 4.0, 1_000_000,
+            0.8 * ratio, 0.5 * slack / window, max(1.0, 0.5 * slack))
+
+    def pier(self, service: str) -> Pier:
+        pier = self.piers.get(service)
+        if pier is None:
+            first = (Method(Effect.IDEMPOTENT, Group.CELL, 1_000_000, 10_000_000, 0, 1.0, 1),)
+            pier = self.piers[service] = Pier(service, self.terms(first), self.clock, self.tally)
+            self.list_one(pier)
+        return pier
+
+    def method(self, pier: Pier, route: Route) -> int:
+        """The number under which the module knows requests of this kind."""
+        kind = (route.pure, route.target_us, route.timeout_us, min(route.rank, RANKS) * 10_000 + route.tries)
+        number = pier.methods.get(kind)
+        if number is None:
+            terms = pier.runtime.gateway.terms
+            method = Method(Effect.IDEMPOTENT if route.pure else Effect.NON_IDEMPOTENT, Group.CELL,
+                            route.target_us, route.timeout_us, 0, 1 / (1 + min(route.rank, RANKS)), route.tries)
+            number = pier.methods[kind] = len(terms.methods)
+            pier.runtime.tell(NewTerms(self.terms((*terms.methods, method))))
+        return number
+
+    def among(self, fleet: Fleet) -> None:
+        """How many gateways there are has changed."""
+        if fleet != self.fleet:
+            self.fleet = fleet
+            for pier in self.piers.values():
+                pier.runtime.tell(NewTerms(self.terms(pier.runtime.gateway.terms.methods)))
+
+    def renew(self) -> None:
+        """Tells each module of its backends, if anything has changed."""
+        if self.turn == self.roster.turn:
+            return
+        self.turn = self.roster.turn
+        self.at = {}
+        for mooring in self.roster.moorings.values():
+            index = self.indices.enter(mooring.row.instance)
+            self.at[index] = mooring
+            host, _, port = mooring.row.address.rpartition(":")
+            self.backends.place(index, (host, int(port)))
+        for instance, index in list(self.indices.index.items()):
+            if index not in self.at:
+                self.backends.forget(index)
+                if not any(pier.runtime.knows(index) for pier in self.piers.values()):
+                    self.indices.leave(index)
+        for service in {mooring.row.service for mooring in self.at.values()}:
+            self.pier(service)
+        for pier in self.piers.values():
+            self.list_one(pier)
+
+    def list_one(self, pier: Pier) -> None:
+        now, steady = self.clock.now(), time.monotonic()
+        entries = []
+        for index, mooring in self.at.items():
+            if mooring.row.service == pier.service:
+                left = int((mooring.warm_at - steady) * 1_000_000)
+                state = State.DRAINING if mooring.row.phase == Phase.DRAINING else State.READY
+                entries.append(Listed(index, self.zone_of(mooring.row.zone), 0,
+                                      now + left - WARM_UP_US if left > 0 else 0, state))
+        pier.runtime.listed(FleetNews(True, False, entries))
+        doubted = self.roster.doubted(pier.service)
+        pier.runtime.tell(Hearsay(frozenset(self.indices.index[one] for one in doubted), frozenset()))
+
+
+def judge(answer: Message | None) -> Outcome:
+    """What a backend's answer tells (PROTOCOL, Answers and Backends). Only Not-Run and 421 say that it has not run;
+    a success without its stamp is none."""
+    if answer is None:
+        return Outcome.BROKEN
+    if b"not-run" in answer.headers or answer.status == 421:
+        return Outcome.TURNED_AWAY
+    if 200 <= answer.status < 300:
+        return Outcome.OK if answer.headers.get(b"server-stamp") else Outcome.BROKEN
+    if answer.status in (408, 429, 503):  # a promise that only Not-Run backs
+        return Outcome.BROKEN
+    return Outcome.ERROR if answer.status >= 500 else Outcome.OK
+
+
+def seed_of(name: str) -> int:
+    return zlib.crc32(name.encode()) + int.from_bytes(time.monotonic_ns().to_bytes(8, "big")[4:], "big")
--- /dev/null
+++ b/stoneyoke/pilotage/roster.py
@@ -0,0 +1,146 @@
+"""What a gateway makes of the cores' news: backends, cores, gateways, the newest configuration. No I/O.
+
+Each core is a source with a version of its own news; of two tellings of a backend the higher call_seq wins and gone
+wins over all, so no order of news matters. Nothing is forgotten because a core is: only what is told to be gone, or
+what every core in touch calls silent for long."""
+
+from dataclasses import dataclass, field
+
+from stoneyoke.harbour.quorum import copies, majority
+from stoneyoke.harbour.register import Phase, Row
+from stoneyoke.lading.charts import Version
+from stoneyoke.signals.messages import News
+
+TOUCH_S = 1.5
+DROP_S = 20.0  # silent by all cores in touch for so long, a backend is dropped
+
+
+@dataclass(slots=True)
+class Source:
+    """One core, as it told of itself last."""
+
+    life: str = ""
+    seq: int = 0
+    heard_at: float = -1e9
+    news: News | None = None
+    phases: dict[str, int] = field(default_factory=dict)  # by instance, as this core has it
+
+
+@dataclass(slots=True)
+class Mooring:
+    """A backend as it is known here."""
+
+    row: Row
+    warm_at: float
+    doubted_at: float | None = None  # since when no core in touch hears it
+
+
+class Roster:
+    def __init__(self, seeds: tuple[str, ...]) -> None:
+        self.sources: dict[str, Source] = {name: Source() for name in seeds}
+        self.moorings: dict[str, Mooring] = {}
+        self.gone: dict[str, float] = {}  # instances that never come back; when that was told
+        self.turn = 0  # rises with each change that the choice of backend should hear of
+
+    def meet(self, name: str) -> None:
+        self.sources.setdefault(name, Source())
+
+    def hear(self, name: str, news: News, now: float) -> None:
+        source = self.sources.setdefault(name, Source())
+        if news.whole or news.life != source.life:
+            source.phases = {}
+        source.life, source.seq, source.heard_at, source.news = news.life, news.seq, now, news
+        for other in news.cores:
+            self.sources.setdefault(other, Source())
+        for told in news.rows:
+            row = Row(*told)
+            source.phases[row.instance] = row.phase
+            self.merge(row, now)
+
+    def merge(self, row: Row, now: float) -> None:
+        if row.instance in self.gone:
+            return
+        if row.phase == Phase.GONE:
+            self.lost(row.instance, now)
+            return
+        old = self.moorings.get(row.instance)
+        if old and row.call_seq < old.row.call_seq:
+            return
+        # Draining is for good: an instance never takes work again.
+        phase = max(row.phase, old.row.phase) if old and old.row.phase == Phase.DRAINING else row.phase
+        row = row._replace(phase=Phase.READY if phase == Phase.SILENT else phase)
+        if old and old.row._replace(call_seq=0, warm_s=0.0) == row._replace(call_seq=0, warm_s=0.0):
+            old.row = row
+            return
+        self.moorings[row.instance] = Mooring(row, now + row.warm_s)
+        self.turn += 1
+
+    def lost(self, instance: str, now: float) -> None:
+        """It is gone for good: told so, or another one answers at its address."""
+        self.gone[instance] = now
+        if self.moorings.pop(instance, None):
+            self.turn += 1
+
+    def near(self, now: float) -> list[Source]:
+        return [one for one in self.sources.values() if now - one.heard_at < TOUCH_S]
+
+    def sweep(self, now: float) -> None:
+        """Doubts, and what ends them; called now and then."""
+        near = [one for one in self.near(now) if one.news and one.news.settled]
+        voters = len(self.crew())
+        if near and len(near) >= min(majority(voters or 1), voters or 1):
+            for name, mooring in list(self.moorings.items()):
+                heard = any(one.phases.get(name, Phase.SILENT) in (Phase.READY, Phase.DRAINING) for one in near)
+                if heard == (mooring.doubted_at is None):
+                    continue
+                if heard:
+                    mooring.doubted_at = None
+                    self.turn += 1
+                elif mooring.doubted_at is None:
+                    mooring.doubted_at = now
+                    self.turn += 1
+        for name, mooring in list(self.moorings.items()):
+            if mooring.doubted_at is not None and now - mooring.doubted_at > DROP_S:
+                del self.moorings[name]
+                self.turn += 1
+        for name in [one for one, at in self.gone.items() if now - at > 300]:
+            del self.gone[name]
+
+    # ---- cores and gateways ----
+
+    def crew(self) -> tuple[str, ...]:
+        """Who votes, by the newest list told."""
+        told = [one.news for one in self.sources.values() if one.news and one.news.crew_number]
+        return tuple(max(told, key=lambda news: news.crew_number).crew) if told else ()
+
+    def newest(self) -> tuple[Version, str]:
+        """The highest version that any core has told of, and who."""
+        told = [(Version(*one.news.stamp), name) for name, one in self.sources.items() if one.news]
+        return max(told, default=(Version(), ""))
+
+    def caught_up(self, now: float) -> Version | None:
+        """The version that is sure to be no older than what was acknowledged; None: too few voters are heard. They
+        have all berths too: a drain is acknowledged once a majority of them knows."""
+        crew = self.crew()
+        heard = [one.news for name in crew if (one := self.sources.get(name)) and one.news
+                 and now - one.heard_at < TOUCH_S and one.news.standing and one.news.settled]
+        if not crew or len(heard) < copies(len(crew)):
+            return None
+        return max(Version(*news.stamp) for news in heard)
+
+    def pilots(self, now: float) -> list[str]:
+        """Gateways whose beats cores in touch have heard, sorted."""
+        return sorted({name for one in self.near(now) if one.news for name in one.news.pilots})
+
+    def keeper(self, now: float) -> str:
+        """Who holds the duty of the quotas, by most cores in touch."""
+        said = [one.news.keeper for one in self.near(now) if one.news and one.news.keeper]
+        return max(sorted(set(said)), key=said.count) if said else ""
+
+    # ---- backends ----
+
+    def doubted(self, service: str) -> frozenset[str]:
+        """Backends that no core hears. No more than half of a service: else it is the cores that don't hear."""
+        all_of = [one for one in self.moorings.values() if one.row.service == service]
+        silent = frozenset(one.row.instance for one in all_of if one.doubted_at is not None)
+        return silent if 2 * len(silent) <= len(all_of) else frozenset()
--- /dev/null
+++ b/stoneyoke/pilotage/teller.py
@@ -0,0 +1,82 @@
+"""Asks the keeper for units of tenants' stores, all that is wanted in one message, one message at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+from stoneyoke.limits.shares import SILENT_S, Purse
+from stoneyoke.signals.messages import Draw, Drawn
+from stoneyoke.signals.wires import Unheard, Wire
+
+WAIT_S = 0.1  # a request waits for the keeper no longer
+ROUND_S = 0.25  # a message at least so often: it tells demand, and that this gateway is there
+
+
+class Teller:
+    """purses: by tenant. keeper: the address of the core that holds the duty, "" if not known."""
+
+    def __init__(self, name: str, life: str, keeper: Callable[[], str], wire: Callable[[str], Wire | None],
+                 purses: dict[str, Purse], heard: Callable[[], None], clock: Callable[[], float]) -> None:
+        self.name, self.life, self.keeper, self.wire, self.purses = name, life, keeper, wire, purses
+        self.heard, self.clock = heard, clock
+        self.heard_at = -1e9
+        self.waiting: dict[str, int] = {}  # requests that wait, by tenant
+        self.wanted = asyncio.Event()
+        self.answered = asyncio.Event()
+
+    async def ask(self, tenant: str) -> None:
+        """Returns once the keeper has answered for this tenant, or has not in time."""
+        self.waiting[tenant] = self.waiting.get(tenant, 0) + 1
+        self.wanted.set()
+        try:
+            async with asyncio.timeout(WAIT_S):
+                # An answer to what was asked before this request came may hold nothing for it.
+                for _ in range(2):
+                    await self.answered.wait()
+                    if self.purses[tenant].level >= 1 or self.purses[tenant].shut_until > self.clock():
+                        break
+        except TimeoutError:
+            pass
+        finally:
+            self.waiting[tenant] -= 1
+            if not self.waiting[tenant]:
+                del self.waiting[tenant]
+
+    async def run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(ROUND_S):
+                    await self.wanted.wait()
+            except TimeoutError:
+                pass
+            self.wanted.clear()
+            name = self.keeper()
+            wire = self.wire(name) if name else None
+            if wire is None:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                await self.draw(wire)
+            except Unheard:
+                await asyncio.sleep(0.05)
+
+    async def draw(self, wire: Wire) -> None:
+        now = self.clock()
+        wants = []
+        for tenant, purse in self.purses.items():
+            waiting = self.waiting.get(tenant, 0)
+            if waiting or purse.demand:
+                want = purse.want(waiting) if now >= purse.shut_until else 0.0
+                wants.append((tenant, max(0.0, want - purse.level), purse.demand, purse.level))
+                purse.demand = 0.0
+        drawn = await wire.call(Draw(self.name, self.life, int(min(60.0, now - self.heard_at) * 1000), wants),
+                                SILENT_S / 2)
+        if not isinstance(drawn, Drawn) or not drawn.ok:
+            await asyncio.sleep(0.02)
+            return
+        self.heard_at = self.clock()
+        self.heard()
+        for tenant, units, wait, part in drawn.gives:
+            if purse := self.purses.get(tenant):
+                purse.hear(units, wait, part, self.heard_at)
+        answered, self.answered = self.answered, asyncio.Event()
+        answered.set()
--- /dev/null
+++ b/stoneyoke/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Thin programs that put the planes' libraries together."""
--- /dev/null
+++ b/stoneyoke/programs/harbourmaster.py
@@ -0,0 +1,69 @@
+"""harbourmaster: a core machine's program. Puts the control plane's parts together."""
+
+import asyncio
+import signal
+import sys
+
+from absl import app, flags
+from loguru import logger
+
+from stoneyoke.harbour.desk import Desk
+from stoneyoke.harbour.office import Office
+from stoneyoke.hold.stow import Hold
+from stoneyoke.programs.ring import Ring, set_up
+from stoneyoke.programs.settings import BadSettings, Settings, read_settings
+from stoneyoke.signals.wires import Station
+
+SETTINGS = flags.DEFINE_string("settings", None, "The settings file; else the one that the environment names.")
+BODY_PART = 16  # of the memory, for one configuration's text
+SILENT_BEATS = 2.4  # beats missed, after which a backend counts as silent
+LINGER_S = 0.3
+
+
+async def serve(settings: Settings, ring: Ring) -> None:
+    if settings.control is None:
+        raise BadSettings("network.binds.control_addr is missing")
+    if not settings.data_dir:
+        raise BadSettings("self.data_dir is missing: the operator's word needs a disk")
+    loop, ended = asyncio.get_running_loop(), asyncio.Event()
+    office = Office(settings.name, settings.ip, settings.port, settings.zone, Hold(settings.data_dir),
+                    settings.seeds, first_start=settings.first_start,
+                    silent_s=SILENT_BEATS * settings.beat_s + 0.5, bounds=settings.bounds)
+    desk = Desk(office.call, settings.memory // BODY_PART)
+    station = Station(office.meet)
+
+    def reload() -> None:
+        try:
+            office.meet_core(*read_settings(SETTINGS.value).seeds)
+        except BadSettings as bad:
+            logger.error("reload: {}", bad)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGUSR1, ring.dump)
+    await office.start()
+    await station.open((settings.ip, settings.port))
+    await desk.open(settings.control)
+    logger.info("harbourmaster {} of {} voters", settings.name, len(office.word.crew.names))
+    await ended.wait()
+    desk.close()
+    await asyncio.sleep(LINGER_S)
+    station.close()
+
+
+def run(_: list[str]) -> None:
+    ring = set_up()
+    try:
+        asyncio.run(serve(read_settings(SETTINGS.value), ring))
+    except BadSettings as bad:
+        print(f"harbourmaster: {bad}", file=sys.stderr)
+        sys.exit(2)
+
+
+def main() -> None:
+    app.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stoneyoke/programs/settings.py
@@ -0,0 +1,124 @@
+"""The settings file of a process (DEPLOY, What a process is told): its table of settings, read and checked."""
+
+import os
+import tomllib
+from dataclasses import dataclass
+from typing import Any
+
+from stoneyoke.lading.calls import addressed
+from stoneyoke.lading.tables import NEEDED, Setting, Table, Unfit, above, at_least, filled, read
+
+VARIABLE = "STONEYOKE_NODE_FILE"
+
+
+class BadSettings(Exception):
+    """The file that says how to start can't be used; the text names the field."""
+
+
+def ports(value: list[int]) -> str:
+    fits = len(value) == 2 and 0 < value[0] <= value[1] < 65_536
+    return "" if fits else f"{value!r} is no range of ports"
+
+
+SETTINGS: Table = (
+    Setting("self", (
+        Setting("node_name", str, NEEDED, filled),
+        Setting("ip_addr", str, NEEDED, lambda value: addressed(f"{value}:1")),
+        Setting("zone_name", str, ""),
+        Setting("region_name", str, ""),
+        Setting("first_start", bool, False),
+        Setting("data_dir", str, ""),
+        Setting("limits", (
+            Setting("memory_mb", float, 256.0, above(0)),
+            Setting("max_fds", int, 1024, at_least(300)),
+            Setting("link_mbps", float, 1000.0, above(0)),
+        ), {"memory_mb": 256.0, "max_fds": 1024, "link_mbps": 1000.0}),
+    )),
+    Setting("network", (
+        Setting("port_range", [int], NEEDED, ports),
+        Setting("seed_addrs", [str], NEEDED, filled),
+        Setting("binds", (
+            Setting("front_addr", str, "", lambda value: addressed(value) if value else ""),
+            Setting("ready_addr", str, "", lambda value: addressed(value) if value else ""),
+            Setting("control_addr", str, "", lambda value: addressed(value) if value else ""),
+        ), {"front_addr": "", "ready_addr": "", "control_addr": ""}),
+        Setting("zones", dict, {}),
+    )),
+    Setting("provider", (Setting("beat_s", float, 1.5, above(0)),), {"beat_s": 1.5}),
+    Setting("term_set", (
+        Setting("contract_set", [str], []),
+        Setting("tolerance", (Setting("machine_losses", int, 1, at_least(0)),), {"machine_losses": 1}),
+        Setting("bound_set", (
+            Setting("contact_s", float, 3.0, above(0)),
+            Setting("drain_s", float, 2.5, above(0)),
+            Setting("grace_s", float, 6.0, above(0)),
+            Setting("apply_s", float, 2.5, above(0)),
+            Setting("retry_ratio", float, 0.2, at_least(0)),
+            Setting("retry_window_s", float, 10.0, above(0)),
+            Setting("retry_slack", float, 20.0, at_least(0)),
+            Setting("quota_window_s", float, 5.0, above(0)),
+            Setting("quota_excess", float, 0.1, at_least(0)),
+            Setting("quota_slack", float, 20.0, at_least(0)),
+        ), None),
+    ), None),
+)
+BOUNDS = next(one.kind for one in SETTINGS if one.name == "term_set")
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Addresses are (host, port). bounds: the figures of the rules, by name."""
+
+    name: str
+    ip: str
+    zone: str
+    first_start: bool
+    data_dir: str
+    memory: int  # bytes
+    descriptors: int
+    port: int  # the first of those that are free for what gateways say to each other
+    seeds: tuple[str, ...]  # addresses of machines that serve control, without ports
+    front: tuple[str, int] | None
+    ready: tuple[str, int] | None
+    control: tuple[str, int] | None
+    zones: tuple[str, ...]
+    beat_s: float
+    losses: int
+    bounds: dict[str, float]
+
+
+def address(text: str) -> tuple[str, int] | None:
+    host, _, port = text.rpartition(":")
+    return (host, int(port)) if host else None
+
+
+def read_settings(path: str | None = None) -> Settings:
+    """Raises BadSettings."""
+    path = path or os.environ.get(VARIABLE)
+    if not path:
+        raise BadSettings(f"{VARIABLE} names no file")
+    try:
+        with open(path, "rb") as file:
+            given = tomllib.load(file)
+        return make(given)
+    except (OSError, ValueError) as bad:
+        raise BadSettings(f"{path} can't be read: {bad}") from bad
+    except Unfit as bad:
+        raise BadSettings(f"{path}: {bad}") from bad
+
+
+def make(given: dict[str, Any]) -> Settings:
+    found = read(given, SETTINGS)
+    own, network, limits = found["self"], found["network"], found["self"]["limits"]
+    terms = found["term_set"] or read({}, BOUNDS)
+    for at, seed in enumerate(network["seed_addrs"]):
+        if why := addressed(seed):
+            raise Unfit(f"network.seed_addrs[{at}]", why)
+    bounds = terms["bound_set"] or read({}, next(one.kind for one in BOUNDS if one.name == "bound_set"))
+    return Settings(
+        own["node_name"], own["ip_addr"], own["zone_name"], own["first_start"], own["data_dir"],
+        int(limits["memory_mb"] * (1 << 20)), limits["max_fds"], network["port_range"][0],
+        tuple(dict.fromkeys(seed.rpartition(":")[0] for seed in network["seed_addrs"])),
+        address(network["binds"]["front_addr"]), address(network["binds"]["ready_addr"]),
+        address(network["binds"]["control_addr"]),
+        tuple(sorted(network["zones"])), found["provider"]["beat_s"], terms["tolerance"]["machine_losses"], bounds)
--- a/stoneyoke/runtime.py
+++ b/stoneyoke/runtime.py
@@ -44,10 +44,10 @@
 class Held:
     """One RPC, from its arrival until the front lets go of it."""
 
-    __slots__ = ("calls", "clock", "gone", "index", "stop", "waiter", "wishes")
+    __slots__ = ("calls", "clock", "gone", "home", "index", "stop", "waiter", "wishes")
 
-    def __init__(self, index: int, clock: Clock) -> None:
-        self.index, self.clock = index, clock
+    def __init__(self, index: int, clock: Clock, home: "Runtime") -> None:
+        self.index, self.clock, self.home = index, clock, home
         self.calls = 0  # call-outs begun; the next one's number
         self.gone = False  # the client is
         self.wishes: deque[Wish] = deque()
@@ -131,7 +131,7 @@
     def take_in(self, method: int, plan: int, account: int, until: int, units: float, width: float,
                 repeat: bool | None) -> Held:
         self.rpcs += 1
-        held = self.held[self.rpcs] = Held(self.rpcs, self.clock)
+        held = self.held[self.rpcs] = Held(self.rpcs, self.clock, self)
         self.tell(Arrival(held.index, method, plan, self.customers.enter(account), account,
                           max(0, until - self.clock.now()), units, width, repeat))
         return held
--- /dev/null
+++ b/stoneyoke/signals/__init__.py
@@ -0,0 +1,1 @@
+"""What the system's own processes say to one another."""
--- /dev/null
+++ b/stoneyoke/signals/messages.py
@@ -0,0 +1,208 @@
+"""The messages between the system's own processes, each a typed record in msgpack. No I/O.
+
+A frame is a list: the message's tag, a call's number, its fields in order. What doesn't fit its types is Garbled."""
+
+from dataclasses import dataclass, fields
+from types import GenericAlias
+from typing import Any, get_args, get_origin, get_type_hints
+
+import msgpack
+
+FRAME_TOP = 1 << 26
+
+
+class Garbled(Exception):
+    """Bytes that make no message of this system."""
+
+
+Row = tuple[str, str, str, str, str, int, int, int, float]  # see harbour.register.Berth.row()
+Stamp = tuple[int, bytes]  # a configuration's number and digest
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A gateway, or another core, asks a core for what is new since (life, seq) of that core.
+
+    beat: this core is one of the asker's watchers on the ring; wait_ms: how long the core may wait for news."""
+
+    name: str
+    ip: str
+    kind: str  # "pilot" or "harbourmaster"
+    zone: str
+    life: str
+    seq: int
+    stamp: Stamp  # of the configuration in force at the asker
+    ready: bool
+    beat: bool
+    wait_ms: int
+    own_life: str
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """rows: berths that changed; whole: all of them. crew: who votes, and the number of that list. pilots: names
+    of the gateways whose beats were heard. keeper: who holds the duty of the quotas, "" if not known."""
+
+    life: str
+    seq: int
+    whole: bool
+    rows: list[Row]
+    stamp: Stamp
+    standing: bool  # this core votes and has all that was acknowledged
+    settled: bool  # it has asked others for the berths that it may have known in an earlier life
+    crew_number: int
+    crew: list[str]
+    cores: list[str]
+    pilots: list[str]
+    keeper: str
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Asks for the configuration that is held."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bill:
+    stamp: Stamp
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """A core is to hold this configuration, if it is higher than what it holds."""
+
+    crew_number: int
+    stamp: Stamp
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """What is on this core's disk, synced; whether it counts as a vote in that crew."""
+
+    stamp: Stamp
+    crew_number: int
+    standing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Beats that a core heard from the backends themselves."""
+
+    rows: list[Row]
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Muster:
+    """Who votes: a core is to hold this list. ballot orders rival lists of one number; `old` is the list before."""
+
+    number: int
+    ballot: int
+    crew: list[str]
+    sure: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Mustered:
+    number: int
+    ballot: int
+    crew: list[str]
+    sure: bool
+    stamp: Stamp
+    standing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Asks for a duty for so long."""
+
+    duty: str
+    holder: str
+    life: str
+    ttl_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """holder: who has it by this core's word, for left_ms more; ok: the asker."""
+
+    ok: bool
+    holder: str
+    left_ms: int
+    crew_number: int
+    standing: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Draw:
+    """A gateway asks the keeper for units of tenants' stores. wants: tenant, units wanted, demand since the last
+    time, units held. deaf_ms: how long ago it last heard an answer."""
+
+    name: str
+    life: str
+    deaf_ms: int
+    wants: list[tuple[str, float, float, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Drawn:
+    """For each: units given, wait in seconds until one is there, this gateway's part of the counted demand."""
+
+    ok: bool
+    gives: list[tuple[str, float, float, float]]
+
+
+KINDS: tuple[type, ...] = (Pull, News, Fetch, Bill, Keep, Kept, Tell, Told, Muster, Mustered, Claim, Granted,
+                           Draw, Drawn)
+TAGS = {kind: at for at, kind in enumerate(KINDS)}
+TYPES = {kind: [get_type_hints(kind)[one.name] for one in fields(kind)] for kind in KINDS}
+NAMES = {kind: [one.name for one in fields(kind)] for kind in KINDS}
+Message = (Pull | News | Fetch | Bill | Keep | Kept | Tell | Told | Muster | Mustered | Claim | Granted
+           | Draw | Drawn)
+
+
+def pack(number: int, message: Message) -> bytes:
+    """A frame: four bytes of length, then the list."""
+    kind = type(message)
+    body: bytes = msgpack.packb([TAGS[kind], number, *(getattr(message, name) for name in NAMES[kind])])
+    return len(body).to_bytes(4, "big") + body
+
+
+def unpack(body: bytes) -> tuple[int, Message]:
+    """A call's number and its message. Raises Garbled."""
+    try:
+        parts = msgpack.unpackb(body, use_list=False, strict_map_key=True, max_ext_len=0)
+    except Exception as bad:  # msgpack has a dozen errors of its own, and ValueError besides
+        raise Garbled(f"no msgpack: {bad}"[:100]) from bad
+    if not isinstance(parts, tuple) or len(parts) < 2 or not all(type(one) is int for one in parts[:2]):
+        raise Garbled("no frame of this system")
+    tag, number, *values = parts
+    if not 0 <= tag < len(KINDS) or not 0 <= number < 1 << 62 or len(values) != len(TYPES[KINDS[tag]]):
+        raise Garbled(f"a message of no kind known here: {tag}")
+    kind = KINDS[tag]
+    message: Message = kind(*(fit(value, wanted, kind) for value, wanted in zip(values, TYPES[kind], strict=True)))
+    return number, message
+
+
+def fit(value: Any, wanted: Any, kind: type) -> Any:
+    if wanted is float and type(value) is int:
+        value = float(value)
+    if not isinstance(wanted, GenericAlias):
+        if type(value) is not wanted or wanted is float and not abs(value) < 1e15 or (
+                wanted is int and not -(1 << 62) < value < 1 << 62):
+            raise Garbled(f"a {kind.__name__} with {str(value)[:40]!r} where {wanted.__name__} belongs")
+        return value
+    if not isinstance(value, tuple):
+        raise Garbled(f"a {kind.__name__} without its list")
+    parts = get_args(wanted)
+    if get_origin(wanted) is list:
+        return [fit(one, parts[0], kind) for one in value]
+    if len(value) != len(parts):
+        raise Garbled(f"a {kind.__name__} with a row of {len(value)}")
+    return tuple(fit(one, part, kind) for one, part in zip(value, parts, strict=True))
