--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 test: .venv  ## plain cases and seeded random runs
 	$(PYTHON) -m pip install -q -r requirements-dev.txt
 	$(PYTHON) -m pytest -q
+	.venv/bin/ward
 
 lint: .venv
 	$(PYTHON) -m pip install -q -r requirements-dev.txt
--- a/stoneyoke/control/choice.py
+++ b/stoneyoke/control/choice.py
@@ -2,9 +2,10 @@
 
 import math
 
-from stoneyoke.control.ground import BEAT, PROVEN_UNRUN, Ground, OpenRpc
+from stoneyoke.control.ground import BEAT, PROVEN_UNRUN, Ground
 from stoneyoke.interface import CallOutEnded, FleetNews, Group, Hearsay, Outcome, State, Terms
 from stoneyoke.limits.stores import SECOND, Store
+from stoneyoke.records import OpenRpc
 from stoneyoke.spread.places import places, turns
 
 
--- a/stoneyoke/control/gateway.py
+++ b/stoneyoke/control/gateway.py
@@ -19,13 +19,14 @@
 from typing import Any
 
 from stoneyoke.control.choice import Choice
-from stoneyoke.control.ground import BEAT, PROVEN_UNRUN, MethodRow, OpenRpc, Rpc
+from stoneyoke.control.ground import BEAT, PROVEN_UNRUN
 from stoneyoke.control.quotas import Quotas
 from stoneyoke.interface import (
     Abort, Action, AddCount, Arrival, CallOff, CallOut, CallOutEnded, ClientGone, CountAnswer, Effect, Event,
     FleetNews, Group, Hearsay, NewTerms, Outcome, PushBack, SetTimer, State, StreamBegun, Subscribe, Terms, TimerFired,
 )
 from stoneyoke.limits.stores import SECOND, Store
+from stoneyoke.records import MethodRow, OpenRpc, Rpc
 
 STILL_OUT = None  # what an RPC is resumed with when its call-out has been out for the asked time
 
--- a/stoneyoke/control/quotas.py
+++ b/stoneyoke/control/quotas.py
@@ -4,12 +4,13 @@
 from collections import deque
 from collections.abc import Callable, Generator
 from functools import partial
-from typing import Any, NamedTuple
+from typing import Any
 
-from stoneyoke.control.ground import BEAT, Ground, OpenRpc
+from stoneyoke.control.ground import BEAT, Ground
 from stoneyoke.interface import Action, AddCount, Arrival, CountAnswer, Forget, Plan, Terms
 from stoneyoke.limits.common import LIFE, Common, Talk, guarded_part
 from stoneyoke.limits.stores import LONGEST_WAIT, SECOND, Store
+from stoneyoke.records import Call, OpenRpc
 
 Hear = Callable[[CountAnswer], None]
 Held = tuple[int, float] | None  # a name of the counter and the amount that stands in it for an RPC
@@ -62,17 +63,6 @@
         return 0 < self.plan.parallel <= self.out + min(self.plan.rate, others) / self.lump * taken
 
 
-class Call(NamedTuple):
-    """A counter call to come; its answer is read for a customer of whom so much was told,
-    and holds that part of the period's additions."""
-
-    name: int
-    amount: float
-    customer: int = -1
-    told: float = 0.0
-    part: float = 1.0
-
-
 class Quotas(Ground):
     def __init__(self, terms: Terms, now: int) -> None:
         super().__init__(terms, now)
--- a/stoneyoke/harbour/office.py
+++ b/stoneyoke/harbour/office.py
@@ -6,9 +6,9 @@
 import json
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
-from typing import ParamSpec, TypeVar
+from typing import Any, ParamSpec, TypeVar
 
 from loguru import logger
 
@@ -25,7 +25,7 @@
 from stoneyoke.lading.tables import Unfit
 from stoneyoke.limits.shares import Keeper
 from stoneyoke.signals.messages import (
-    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, News, Pull, Row as Told_row,
+    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, News, Pull,
     Tell, Told,
 )
 from stoneyoke.signals.wires import Unheard, Wire
@@ -74,7 +74,7 @@
         self.disk = asyncio.Lock()  # one record is written at a time
         self.alarm = asyncio.Event()  # set and renewed when gateways should hear of something
         self.heard: dict[str, None] = {}  # instances whose beats came to this core since it told others
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Future[Any]] = set()  # kept until they are done
         self.fresh = first_start
         self.pilots: dict[str, tuple[Version, float, bool]] = {}  # by name: version, when, ready
 
@@ -103,8 +103,8 @@
         for work in (self.tell_often(), self.sweep_often(), self.do_duties()):
             self.spawn(work)
 
-    def spawn(self, work: "asyncio.Future[None] | object") -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+    def spawn(self, work: Coroutine[Any, Any, R]) -> asyncio.Task[R]:
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
@@ -189,9 +189,9 @@
             if not await self.try_disk(self.keep_crew()):
                 self.word.standing = False
 
-    async def try_disk(self, work: "asyncio.Future[None] | object") -> bool:
+    async def try_disk(self, work: Awaitable[None]) -> bool:
         try:
-            await work  # type: ignore[misc]
+            await work
             return True
         except HoldError as bad:
             logger.error("disk: {}", bad)
@@ -226,22 +226,19 @@
         """How many of the voters know of these now, this one included."""
         async def one(peer: Peer) -> bool:
             try:
-                return isinstance(await peer.wire.call(Tell([tuple(row) for row in rows]), CALL_S), Told)
+                return isinstance(await peer.wire.call(Tell(list(rows)), CALL_S), Told)
             except Unheard:
                 return False
 
         crew = self.word.crew.names
         know, enough = int(self.ip in crew), majority(len(crew) or 1)
-        waiting = {asyncio.ensure_future(one(peer)): name for name, peer in self.peers.items()}
+        waiting = {self.spawn(one(peer)): name for name, peer in self.peers.items()}
         while waiting and know < enough:
             done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             know += sum(task.result() and waiting[task] in crew for task in done)
             for task in done:
                 del waiting[task]
-        for task in waiting:  # the rest hear of it all the same
-            self.tasks.add(task)  # type: ignore[arg-type]
-            task.add_done_callback(self.tasks.discard)
-        return know
+        return know  # the rest hear of it all the same
 
     async def tell_often(self) -> None:
         while True:
@@ -350,7 +347,7 @@
         now, crew = self.clock(), self.word.crew
         rows = self.register.since(asked.seq if known else 0, now)
         _, keeper, _ = self.grant_of(QUOTAS)
-        return News(self.life, self.register.seq, not known, [told(row) for row in rows], stamp(self.word.version),
+        return News(self.life, self.register.seq, not known, list(rows), stamp(self.word.version),
                     self.word.votes(), self.settled(), crew.number, list(crew.names), [self.ip, *self.peers],
                     list(self.watch.seen), keeper)
 
@@ -455,7 +452,7 @@
                 return False
 
         asked_at = self.clock()
-        waiting = {asyncio.ensure_future(one(self.peers[name])) for name in self.word.crew.names
+        waiting = {self.spawn(one(self.peers[name])) for name in self.word.crew.names
                    if name in self.peers}
         try:
             async with asyncio.timeout(ANSWER_S):
@@ -470,10 +467,6 @@
                     _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         except TimeoutError:
             return Unable("too few cores answer")
-        finally:
-            for task in waiting:
-                self.tasks.add(task)  # type: ignore[arg-type]
-                task.add_done_callback(self.tasks.discard)
         if not self.word.body:
             return Refused(404, "generation", "no configuration has been put yet")
         return Whole(self.word.body)
@@ -500,10 +493,6 @@
     return version.number, version.digest
 
 
-def told(row: Row) -> Told_row:
-    return tuple(row)
-
-
 def read_crew(record: dict[bytes, bytes] | None) -> Crew | None:
     if not record:
         return None
--- a/stoneyoke/harbour/register.py
+++ b/stoneyoke/harbour/register.py
@@ -42,6 +42,7 @@
     seq: int = 0  # of this core's news
 
     def told(self, now: float) -> Row:
+        """As it is told now."""
         return self.row._replace(warm_s=max(0.0, self.row.warm_s - (now - self.told_at)))
 
 
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -203,7 +203,7 @@
 class PushBack:
     rpc: int
     wait_us: int
-    pressed: bool = False  # the back end is, not the customer's quota
+    pressed: bool = field(default=False, repr=False)  # the back end is, not the customer's quota
 
 
 @dataclass(slots=True)
--- a/stoneyoke/lading/charts.py
+++ b/stoneyoke/lading/charts.py
@@ -160,7 +160,7 @@
             places.add(place)
             if (route["target_service"] is None) == (route["weighted"] is None):
                 raise Unfit(f"{where}.target_service", "either this or weighted is needed")
-            for number, (service, share) in enumerate(targets(route)):
+            for number, (service, _) in enumerate(targets(route)):
                 field = f"weighted[{number}].target_service" if route["weighted"] else "target_service"
                 if service not in chart.services:
                     raise Unfit(f"{where}.{field}", f"unknown service {service[:60]!r}")
--- a/stoneyoke/limits/shares.py
+++ b/stoneyoke/limits/shares.py
@@ -135,7 +135,7 @@
         pool.level -= units
         lack = max(0.0, 1 - pool.level)
         # Half of the time in which its part refills a unit: more would leave units, less asks for nothing.
-        wait = 0.0 if units else max(lack, 0.5 / max(seat.part, 0.02)) / pool.rate
+        wait = 0.0 if units or want < 1 else max(lack, 0.5 / max(seat.part, 0.02)) / pool.rate
         return tenant, units, wait, seat.part
 
 
@@ -168,4 +168,7 @@
     def hear(self, units: float, wait: float, part: float, now: float) -> None:
         self.level += units
         self.part = part
-        self.shut_until = now + wait if units <= 0 and wait > 0 else 0.0
+        if units > 0:
+            self.shut_until = 0.0
+        elif wait > 0:
+            self.shut_until = now + wait
--- a/stoneyoke/pilotage/piers.py
+++ b/stoneyoke/pilotage/piers.py
@@ -109,7 +109,7 @@
             self.at[index] = mooring
             host, _, port = mooring.row.address.rpartition(":")
             self.backends.place(index, (host, int(port)))
-        for instance, index in list(self.indices.index.items()):
+        for index in list(self.indices.index.values()):
             if index not in self.at:
                 self.backends.forget(index)
                 if not any(pier.runtime.knows(index) for pier in self.piers.values()):
--- a/stoneyoke/pilotage/teller.py
+++ b/stoneyoke/pilotage/teller.py
@@ -76,7 +76,7 @@
         self.heard_at = self.clock()
         self.heard()
         for tenant, units, wait, part in drawn.gives:
-            if purse := self.purses.get(tenant):
-                purse.hear(units, wait, part, self.heard_at)
+            if told := self.purses.get(tenant):
+                told.hear(units, wait, part, self.heard_at)
         answered, self.answered = self.answered, asyncio.Event()
         answered.set()
--- /dev/null
+++ b/tests/system/test_shares.py
@@ -0,0 +1,184 @@
+import random
+
+from ward import test
+
+from stoneyoke.limits.shares import DEAF_S, SILENT_S, Keeper, Purse
+from stoneyoke.limits.stores import SECOND
+from stoneyoke.pilotage.admission import Admission
+from stoneyoke.pilotage.routes import Tenant
+
+BOUNDS = {"quota_slack": 20.0, "quota_excess": 0.1, "quota_window_s": 5.0}
+RATE, BURST = 30.0, 30.0
+PLANS = [{"label": "anna", "rate_per_s": RATE, "burst_size": BURST}]
+TENANT = Tenant("anna", 0, RATE, BURST)
+
+
+class Town:
+    """Gateways and keepers in simulated time: each step a hundredth of a second."""
+
+    def __init__(self, seed, gateways):
+        self.chance = random.Random(seed)
+        self.now = 1000.0
+        self.count = gateways
+        self.stages = [self.stage() for _ in range(gateways)]
+        self.cut = [False] * gateways
+        self.lives = [0] * gateways
+        self.keeper = Keeper(BOUNDS, self.now)
+        self.next_keeper = None
+        self.asked_at = [self.now - at * 0.03 for at in range(gateways)]
+        self.sent, self.refused, self.asked = [], 0, 0
+
+    def stage(self):
+        stage = Admission(7, int(self.now * SECOND), BOUNDS["quota_slack"] / 4)
+        stage.among(self.count)
+        return stage
+
+    def restart(self, at):
+        self.stages[at], self.lives[at] = self.stage(), self.lives[at] + 1
+
+    def lose_keeper(self, gap):
+        self.next_keeper, self.keeper = self.now + gap, None
+
+    def draw(self, at, waiting):
+        """One message to the keeper and its answer."""
+        if self.cut[at] or self.keeper is None:
+            return
+        stage = self.stages[at]
+        wants = []
+        for tenant, purse in stage.purses.items():
+            want = purse.want(waiting) if self.now >= purse.shut_until else 0.0
+            wants.append((tenant, max(0.0, want - purse.level), purse.demand, purse.level))
+            purse.demand = 0.0
+        self.keeper.plans(PLANS)
+        deaf = self.now - stage.heard_at / SECOND
+        for tenant, units, wait, part in self.keeper.draw(f"g{at}", str(self.lives[at]), deaf, wants, self.now):
+            stage.purses[tenant].hear(units, wait, part, self.now)
+        stage.heard(int(self.now * SECOND))
+
+    def request(self, at):
+        self.asked += 1
+        stage = self.stages[at]
+        call, now = stage.call(TENANT, SECOND), int(self.now * SECOND)
+        purse = stage.purses["anna"]
+        verdict = stage.knock(call, purse, now)
+        if verdict is None:
+            self.draw(at, 1)
+            verdict = stage.answered(call, purse, now)
+        if verdict == 0:
+            self.sent.append(self.now)
+        else:
+            self.refused += 1
+
+    def run(self, seconds, rate, weights):
+        """Requests of the tenant at so many a second, gateways drawn by weight."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now += 0.01
+            if self.next_keeper and self.now >= self.next_keeper:
+                self.keeper, self.next_keeper = Keeper(BOUNDS, self.now, [f"g{at}" for at in range(self.count)]), None
+            for at in range(self.count):
+                if self.now - self.asked_at[at] >= 0.25:
+                    self.asked_at[at] = self.now
+                    self.draw(at, 0)
+            while self.chance.random() < rate * 0.01 / (1 + rate * 0.01):
+                self.request(self.chance.choices(range(self.count), weights)[0])
+
+    def most(self):
+        """The most that was sent in any window."""
+        best, first = 0, 0
+        for last, at in enumerate(self.sent):
+            while at - self.sent[first] > BOUNDS["quota_window_s"]:
+                first += 1
+            best = max(best, last - first + 1)
+        return best
+
+
+ALLOWED = (RATE * 5 + BURST) * 1.1 + 20
+
+
+@test("ten times the quota: no window over the rule, and most of the quota is used")
+def _():
+    for seed in range(3):
+        town = Town(seed, 8)
+        town.run(20, 10 * RATE, [1, 1, 1, 1, 1, 1, 1, 5])
+        assert town.most() <= ALLOWED
+        assert len(town.sent) > 0.9 * RATE * 20
+
+
+@test("a tenant at half its quota is not refused, however uneven its gateways")
+def _():
+    for weights in ([1] * 8, [20, 1, 1, 1, 1, 1, 1, 1], [1, 0, 0, 0, 0, 0, 0, 0]):
+        town = Town(4, 8)
+        town.run(2, RATE / 2, weights)
+        town.refused = town.asked = 0
+        town.run(20, RATE / 2, weights)
+        assert town.asked > 200 and town.refused == 0
+
+
+@test("gateways cut off, restarted, and keepers that change, under ten times the quota: no window over the rule")
+def _():
+    for seed in range(12):
+        town = Town(seed, 8)
+        chance = random.Random(seed + 100)
+        for _ in range(12):
+            town.run(chance.uniform(0.3, 3), 10 * RATE, [chance.choice((0.2, 1, 3)) for _ in range(8)])
+            kind = chance.randrange(4)
+            if kind == 0:
+                town.cut = [chance.random() < 0.3 for _ in range(8)]
+            elif kind == 1:
+                for at in chance.sample(range(8), 4):
+                    town.restart(at)
+            elif kind == 2 and town.keeper:
+                town.lose_keeper(chance.uniform(0.2, 1.7))
+            else:
+                town.cut = [False] * 8
+        assert town.most() <= ALLOWED, seed
+
+
+@test("a gateway that hears no keeper goes on with the part of counted demand that it was told, not the even one")
+def _():
+    town = Town(9, 8)
+    weights = [8, 1, 1, 1, 1, 1, 1, 1]
+    town.run(6, 0.6 * RATE, weights)
+    town.lose_keeper(60)
+    town.run(DEAF_S + 0.5, 0.6 * RATE, weights)
+    town.refused = town.asked = 0
+    town.run(8, 0.6 * RATE, weights)
+    assert town.refused < 0.15 * town.asked
+
+
+@test("what silent gateways may use is kept back, and not what ended ones did")
+def _():
+    keeper = Keeper(BOUNDS, 0.0)
+    keeper.plans(PLANS)
+    for name in "ab":
+        keeper.draw(name, "1", 0.0, [("anna", 1.0, 10.0, 0.0)], 1.0)
+    pool = keeper.pools["anna"]
+    assert keeper.kept_back(pool, 1.0) == 0
+    keeper.draw("a", "1", 0.0, [], 1.0 + 2 * SILENT_S)
+    assert abs(keeper.kept_back(pool, 1.0 + 2 * SILENT_S) - 0.5) < 0.01
+    keeper.gone("b")
+    assert keeper.kept_back(pool, 1.0 + 2 * SILENT_S) == 0
+
+
+@test("early returners wait longer, and a refusal states a store-based wait with jitter")
+def _():
+    stage = Admission(7, 0, 5.0)
+    call = stage.call(TENANT, SECOND)
+    purse = stage.purses["anna"]
+    stage.heard(1 * SECOND)
+    purse.hear(0.0, 0.5, 0.2, 1.0)
+    waits = [stage.knock(call, purse, 1 * SECOND) for _ in range(30)]
+    assert 0.5 * SECOND <= waits[0] <= 1.5 * SECOND + 1
+    assert min(waits[10:19]) >= 1.0 * SECOND and min(waits[20:]) >= 4.9 * SECOND  # doubled, then blocked
+
+
+@test("a purse holds whole units in advance only where demand is dense")
+def _():
+    thin, dense = Purse(), Purse()
+    for step in range(100):
+        if step % 50 == 0:
+            thin.count(1.0, step / 10)
+        for _ in range(4):
+            dense.count(1.0, step / 10)
+    assert thin.want(1) == 1 and 7 <= dense.want(1) <= 12
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -419,7 +419,7 @@
     """Call-outs to one backend, without a gateway around them."""
 
     def __init__(self, address, idle_us=30_000_000, most=9):
-        self.clock, self.held = Clock(), Held(1, Clock())
+        self.clock, self.held = Clock(), Held(1, Clock(), None)
         self.backends = Backends(self.clock, Tally(), 250_000, idle_us, Room(most, 0))
         self.backends.place(0, address)
 
