--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -854,7 +854,7 @@
 @on_loop
 async def test_wishes_wait_for_the_module_and_no_longer_than_told():
     clock = Clock()
-    held = Held(1, clock)
+    held = Held(1, clock, None)
     assert await held.wish(clock.now() + 10_000) is None and not held.gone
     asyncio.get_running_loop().call_soon(lambda: (held.wishes.append(PushBack(1, 5)), held.wake()))
     assert await held.wish(clock.now() + 10_000_000) == PushBack(1, 5)
