Who votes changes one member at a time; gateways are told rolls and texts only when they lack them

Need: with more cores than seeds, or a core lost for good, the voters have to follow (tolerance of two losses needs five), and news told whole to 75 gateways is bytes between zones, the dearest price on the grown sites. Change: harbour/crew.py decides the next list by promise and accept of the voters, copies, then tells; News carries cores and gateways only for a roll the asker lacks, configurations travel deflated and from a core of one's own zone; a Kept counts although its sender was never pulled from, and a late News no longer takes back what a Kept said.

--- a/stoneyoke/harbour/office.py
+++ b/stoneyoke/harbour/office.py
@@ -6,17 +6,19 @@
 import json
 import secrets
 import time
+import zlib
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any, ParamSpec, TypeVar
 
 from loguru import logger
 
+from stoneyoke.harbour.crew import Reply, change, to_propose, wanted_size
 from stoneyoke.harbour.duties import RENEW_S, TTL_S, Grantor, Tenure
 from stoneyoke.harbour.quorum import majority
 from stoneyoke.harbour.register import Phase, Register, Row, row_of
 from stoneyoke.harbour.ring import Watch
-from stoneyoke.harbour.word import Crew, Vote, Word
+from stoneyoke.harbour.word import NO_BALLOT, Ballot, Crew, Vote, Word
 from stoneyoke.hold.stow import Hold, HoldError
 from stoneyoke.lading.calls import (
     Answer, Asked, Beat, Leave, Look, Noted, ReadBack, Refused, Replace, Unable, Whole,
@@ -25,8 +27,7 @@
 from stoneyoke.lading.tables import Unfit
 from stoneyoke.limits.shares import Keeper
 from stoneyoke.signals.messages import (
-    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, News, Pull,
-    Tell, Told,
+    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, Muster, Mustered, News, Pull, Tell, Told,
 )
 from stoneyoke.signals.wires import Unheard, Wire
 
@@ -38,6 +39,7 @@
 TELL_S = 0.2
 TOUCH_S = 1.2  # a peer that answered within this is in touch
 SETTLE_S = 1.0  # after a start; by then whoever is up has answered
+CREW_S = 0.5
 QUOTAS = "quotas"
 
 P = ParamSpec("P")
@@ -54,6 +56,7 @@
     life: str = ""
     seq: int = 0
     settled: bool = False
+    steady_at: float = -1e9  # since when it has answered without a break
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
 
@@ -61,13 +64,13 @@
     """port: of the cores' station. silent_s: see Register."""
 
     def __init__(self, name: str, ip: str, port: int, zone: str, hold: Hold, seeds: tuple[str, ...], *,
-                 first_start: bool, silent_s: float, bounds: dict[str, float],
+                 first_start: bool, silent_s: float, bounds: dict[str, float], losses: int,
                  clock: Callable[[], float] = time.monotonic) -> None:
         self.name, self.ip, self.port, self.zone, self.hold, self.clock = name, ip, port, zone, hold, clock
         self.life, self.born = secrets.token_hex(6), clock()
         self.seeds, self.first_start, self.bounds = seeds, first_start, bounds
         self.word, self.register, self.watch = Word(ip), Register(silent_s), Watch(10.0)
-        self.tenure = Tenure()
+        self.grantor, self.tenure = Grantor(self.born, False), Tenure()
         self.peers: dict[str, Peer] = {}
         self.keeper: Keeper | None = None
         self.chart: Chart | None = None
@@ -76,6 +79,10 @@
         self.heard: dict[str, None] = {}  # instances whose beats came to this core since it told others
         self.tasks: set[asyncio.Future[Any]] = set()  # kept until they are done
         self.fresh = first_start
+        self.crew_size = wanted_size(losses)
+        self.copy_at = 0.0  # not before, after a copy that could not be kept
+        self.round = 0  # of changes of who votes
+        self.roll = 0  # rises with each change of the cores and gateways known
         self.pilots: dict[str, tuple[Version, float, bool]] = {}  # by name: version, when, ready
 
     # ---- start ----
@@ -95,12 +102,13 @@
                 logger.error("disk: the configuration held can't be read: {}", bad)
                 crew = None  # then this core does not know what it acknowledged: it copies before it votes
         self.word.found(read_crew(crew), bool(crew and crew.get(b"standing") == b"1"), version, body)
+        self.word.promised, self.word.pending = read_change(crew)
         if self.fresh:
             self.word.first(self.seeds)
             await self.keep_crew()
         self.grantor = Grantor(self.clock(), self.fresh)
         self.meet_core(*self.seeds, *self.word.crew.names)
-        for work in (self.tell_often(), self.sweep_often(), self.do_duties()):
+        for work in (self.tell_often(), self.sweep_often(), self.do_duties(), self.tend_crew()):
             self.spawn(work)
 
     def spawn(self, work: Coroutine[Any, Any, R]) -> asyncio.Task[R]:
@@ -133,8 +141,9 @@
         async with self.disk:
             crew = self.word.crew
             await self.blocking(self.hold.keep, "crew", {
-                b"number": b"%d" % crew.number, b"ballot": b"%d" % crew.ballot, b"sure": b"%d" % crew.sure,
-                b"names": ",".join(crew.names).encode(), b"standing": b"%d" % self.word.standing})
+                b"number": b"%d" % crew.number, b"names": ",".join(crew.names).encode(),
+                b"standing": b"%d" % self.word.standing, b"promised": json.dumps(self.word.promised).encode(),
+                b"pending": json.dumps(self.word.pending).encode()})
         self.changed()
 
     # ---- other cores ----
@@ -142,6 +151,7 @@
     def meet_core(self, *names: str) -> None:
         for name in names:
             if name and name != self.ip and name not in self.peers:
+                self.roll += 1
                 peer = self.peers[name] = Peer(Wire((name, self.port)))
                 peer.tasks.append(self.spawn(self.follow(name, peer)))
 
@@ -160,28 +170,32 @@
     async def pull(self, peer: Peer, wait_ms: int) -> None:
         news = await peer.wire.call(Pull(
             self.name, self.ip, "harbourmaster", self.zone, peer.life, peer.seq, stamp(self.word.version),
-            True, False, wait_ms, self.life), CALL_S + wait_ms / 1000)
+            True, False, wait_ms, self.life, -1), CALL_S + wait_ms / 1000)
         if not isinstance(news, News):
             raise Unheard("an answer of another kind")
         now = self.clock()
+        if now - peer.heard_at > TOUCH_S or peer.life != news.life:
+            peer.steady_at = now
+        if peer.life != news.life:
+            peer.vote = None  # its disk may be another
         peer.heard_at, peer.life, peer.seq, peer.settled = now, news.life, news.seq, news.settled
         for row in news.rows:
             if self.register.hear(Row(*row), now):
                 self.changed()
         self.meet_core(*news.cores)
-        await self.voted(peer, Version(*news.stamp), Crew(news.crew_number, 0, tuple(news.crew), True),
+        await self.voted(peer, Version(*news.stamp), Crew(news.crew_number, tuple(news.crew)),
                          news.standing)
 
     async def voted(self, peer: Peer, version: Version, crew: Crew, standing: bool) -> None:
         """Another core has said what it holds: a higher configuration is copied, a newer list of voters too."""
+        if peer.vote:  # what it said in answer to a Keep may have overtaken this; within a life it only rises
+            version = max(version, peer.vote.version)
         peer.vote = Vote(version, crew, standing)
         if self.word.rises(version):
             await self.copy(peer)
         votes = self.votes()
-        if newer := self.word.learn_crew(votes):
-            self.word.crew = newer
-            if self.ip not in newer.names:
-                self.word.standing = False
+        if (newer := self.word.learn_crew(votes)) and self.word.sure(newer):
+            logger.info("crew {}: {}", newer.number, newer.names)
             await self.try_disk(self.keep_crew())
         if self.word.may_stand(self.votes(fresh=True)):
             self.word.standing = True
@@ -198,11 +212,14 @@
             return False
 
     async def copy(self, peer: Peer) -> None:
+        if self.clock() < self.copy_at:
+            return
         bill = await peer.wire.call(Fetch(), CALL_S + 1.0)
         if isinstance(bill, Bill) and bill.body:
             try:
-                await self.keep_word(read_chart(bill.body))
-            except (Unfit, HoldError) as bad:
+                await self.keep_word(read_chart(zlib.decompress(bill.body)))
+            except (Unfit, HoldError, zlib.error) as bad:
+                self.copy_at = self.clock() + 1.0  # the disk refuses: not at every telling
                 logger.error("a configuration from {} is not kept: {}", peer.wire.address[0], bad)
 
     def votes(self, fresh: bool = False) -> dict[str, Vote]:
@@ -252,7 +269,10 @@
             await asyncio.sleep(0.25)
             seq = self.register.seq
             self.register.sweep(self.clock())
-            if self.watch.sweep(self.clock()) or self.register.seq > seq:
+            if self.watch.sweep(self.clock()):
+                self.roll += 1
+                self.changed()
+            elif self.register.seq > seq:
                 self.changed()
 
     # ---- duties ----
@@ -300,6 +320,96 @@
             self.keeper = Keeper(self.bounds, now, self.watch.seen)
             self.changed()
 
+    # ---- who votes ----
+
+    async def tend_crew(self) -> None:
+        """Whoever holds the duty also changes who votes, and ends changes that were left half way."""
+        while True:
+            await asyncio.sleep(CREW_S)
+            if not self.tenure.holds(self.clock()) or not self.word.member():
+                continue
+            now, crew = self.clock(), self.word.crew
+            silent = {name: now - self.peers[name].heard_at for name in crew.names if name in self.peers}
+            steady = {name: now - peer.steady_at for name, peer in self.peers.items()
+                      if now - peer.heard_at < TOUCH_S and peer.vote}
+            wish = change(crew, silent, steady, self.crew_size)
+            half_way = self.word.pending is not None or any(
+                vote.crew.number == crew.number and not vote.standing and name in crew.names
+                for name, vote in self.votes(fresh=True).items())
+            if wish != crew.names or half_way:
+                try:
+                    await self.change_crew(crew, wish)
+                except (Unheard, HoldError) as bad:
+                    logger.warning("the change of crew {} was not ended: {}", crew.number, bad)
+
+    async def muster(self, names: tuple[str, ...], asked: Muster) -> list[tuple[Reply, Version, str]]:
+        async def one(name: str) -> tuple[Reply, Version, str] | None:
+            try:
+                said = await (self.mustered(asked) if name == self.ip else self.peers[name].wire.call(asked, CALL_S))
+            except (Unheard, KeyError):
+                return None
+            if not isinstance(said, Mustered):
+                return None
+            pending = (said.pending_ballot, tuple(said.pending)) if said.pending else None
+            return (Reply(said.ok, Crew(said.crew_number, tuple(said.crew)), said.promised, pending),
+                    Version(*said.stamp), name)
+
+        return [said for said in await asyncio.gather(*(one(name) for name in names)) if said]
+
+    async def change_crew(self, crew: Crew, wish: tuple[str, ...]) -> None:
+        """One change, from its round to the list being sure; whatever breaks it off leaves it to the next."""
+        self.round = max(self.round, self.word.promised[0]) + 1
+        ballot, number, enough = (self.round, self.ip), crew.number + 1, majority(len(crew.names))
+        said = await self.muster(crew.names, Muster("promise", number, ballot, []))
+        self.round = max([self.round] + [reply.promised[0] for reply, _, _ in said])
+        if sum(reply.ok for reply, _, _ in said) < enough:
+            return
+        names = to_propose(wish, [reply for reply, _, _ in said])
+        if names == crew.names:
+            return
+        said = await self.muster(crew.names, Muster("accept", number, ballot, list(names)))
+        if sum(reply.ok for reply, _, _ in said) < enough:
+            return
+        version, holder = max((version, name) for reply, version, name in said if reply.ok)
+        if self.word.rises(version) and holder in self.peers:
+            await self.copy(self.peers[holder])
+        if self.word.version < version or await self.copy_to(names) < majority(len(names)):
+            raise Unheard("what was acknowledged is not on a majority of the new crew yet")
+        self.word.sure(Crew(number, names))
+        await self.keep_crew()
+        logger.info("crew {}: {}", number, names)
+        await self.muster(tuple({*crew.names, *names} - {self.ip}), Muster("sure", number, ballot, list(names)))
+
+    async def copy_to(self, names: tuple[str, ...]) -> int:
+        """How many of these hold what this core holds, or more, on their disks."""
+        version, body = self.word.version, self.word.body
+
+        async def one(name: str) -> bool:
+            if name == self.ip or not body:
+                return True
+            try:
+                kept = await self.peers[name].wire.call(
+                    Keep(self.word.crew.number, stamp(version), body), ANSWER_S + LARGE_S * len(body))
+            except (Unheard, KeyError):
+                return False
+            return isinstance(kept, Kept) and Version(*kept.stamp) >= version
+
+        return sum(await asyncio.gather(*(one(name) for name in names)))
+
+    async def mustered(self, asked: Muster) -> Mustered:
+        word, ok = self.word, False
+        match asked.step:
+            case "promise":
+                ok = word.promise(asked.number, asked.ballot)
+            case "accept":
+                ok = word.accept(asked.number, asked.ballot, tuple(asked.crew))
+            case "sure":
+                ok = word.sure(Crew(asked.number, tuple(asked.crew)))
+        ok = ok and await self.try_disk(self.keep_crew())
+        ballot, names = word.pending or (NO_BALLOT, ())
+        return Mustered(ok, word.crew.number, list(word.crew.names), word.promised, ballot, list(names),
+                        stamp(word.version))
+
     def grant_of(self, duty: str) -> tuple[bool, str, float]:
         grant, now = self.grantor.grants.get(duty), self.clock()
         return (True, grant.holder, grant.until - now) if grant and now < grant.until else (False, "", 0.0)
@@ -311,7 +421,7 @@
             case Pull():
                 return await self.pulled(message)
             case Fetch():
-                return Bill(stamp(self.word.version), self.word.body)
+                return Bill(stamp(self.word.version), zlib.compress(self.word.body, 6))
             case Keep():
                 return await self.keep(message)
             case Tell(rows):
@@ -326,6 +436,8 @@
                 return Granted(ok, has, int(left * 1000), self.word.crew.number, self.word.votes())
             case Draw():
                 return self.draw(message)
+            case Muster():
+                return await self.mustered(message)
         return None
 
     async def pulled(self, asked: Pull) -> News:
@@ -335,10 +447,12 @@
             now = self.clock()
             self.pilots[asked.name] = (Version(*asked.stamp), now, asked.ready)
             if asked.beat and self.watch.beat(asked.name, now):
+                self.roll += 1
                 self.changed()
         alarm, version = self.alarm, Version(*asked.stamp)
         known = asked.life == self.life
-        if known and asked.seq >= self.register.seq and self.word.version <= version and asked.wait_ms > 0:
+        if known and asked.seq >= self.register.seq and self.word.version <= version and asked.wait_ms > 0 and (
+                asked.roll == self.roll or asked.kind == "harbourmaster"):
             try:
                 async with asyncio.timeout(min(asked.wait_ms, 2000) / 1000):
                     await alarm.wait()
@@ -348,8 +462,8 @@
         rows = self.register.since(asked.seq if known else 0, now)
         _, keeper, _ = self.grant_of(QUOTAS)
         return News(self.life, self.register.seq, not known, list(rows), stamp(self.word.version),
-                    self.word.votes(), self.settled(), crew.number, list(crew.names), [self.ip, *self.peers],
-                    list(self.watch.seen), keeper)
+                    self.word.votes(), self.settled(), crew.number, list(crew.names), keeper, self.zone, self.roll,
+                    *([], []) if known and asked.roll == self.roll else ([self.ip, *self.peers], list(self.watch.seen)))
 
     async def keep(self, asked: Keep) -> Kept:
         version = Version(*asked.stamp)
@@ -422,9 +536,10 @@
                 kept = await peer.wire.call(Keep(self.word.crew.number, stamp(version), chart.body), limit)
             except Unheard:
                 return
-            if isinstance(kept, Kept) and peer.vote:
-                crew = peer.vote.crew if kept.crew_number == peer.vote.crew.number else Crew(kept.crew_number)
-                peer.vote = Vote(Version(*kept.stamp), crew, kept.standing)
+            if isinstance(kept, Kept):
+                crew = self.word.crew if kept.crew_number == self.word.crew.number else Crew(kept.crew_number)
+                before = peer.vote.version if peer.vote else Version()
+                peer.vote = Vote(max(before, Version(*kept.stamp)), crew, kept.standing)
                 peer.heard_at = self.clock()
                 done.set()
 
@@ -497,7 +612,15 @@
     if not record:
         return None
     try:
-        return Crew(int(record[b"number"]), int(record[b"ballot"]), tuple(record[b"names"].decode().split(",")),
-                    record[b"sure"] == b"1")
+        return Crew(int(record[b"number"]), tuple(record[b"names"].decode().split(",")))
     except (KeyError, ValueError):
         return None
+
+
+def read_change(record: dict[bytes, bytes] | None) -> tuple[Ballot, tuple[Ballot, tuple[str, ...]] | None]:
+    """What was promised and accepted in the change of who votes that was under way."""
+    if not record or b"promised" not in record:
+        return NO_BALLOT, None
+    promised, pending = json.loads(record[b"promised"]), json.loads(record[b"pending"])
+    return (promised[0], promised[1]), (
+        ((pending[0][0], pending[0][1]), tuple(pending[1])) if pending else None)
--- a/stoneyoke/harbour/word.py
+++ b/stoneyoke/harbour/word.py
@@ -3,27 +3,22 @@
 A configuration is a register that only rises, so no order of messages matters; who votes is a numbered list that
 changes by one member at a time (docs/design/system.md)."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from stoneyoke.harbour.quorum import copies, majority
 from stoneyoke.lading.charts import Version
 
 NOTHING = Version()
+Ballot = tuple[int, str]  # of a round of a change of who votes: a number, who began it
+NO_BALLOT: Ballot = (0, "")
 
 
 @dataclass(frozen=True, slots=True)
 class Crew:
-    """Who votes: addresses of cores. number 0: not known. ballot orders rival lists of one number. sure: a
-    majority of this list and of the one before hold it, and what was acknowledged before is held by a majority
-    of this one."""
+    """Who votes: addresses of cores. number 0: not known. A list is told only once it is sure (harbour.crew)."""
 
     number: int = 0
-    ballot: int = 0
     names: tuple[str, ...] = ()
-    sure: bool = False
-
-    def after(self, other: "Crew") -> bool:
-        return (self.number, self.ballot, self.sure) > (other.number, other.ballot, other.sure)
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +37,8 @@
         self.crew = Crew()
         # It counts as a voter: its disk has been whole since it joined, or it has copied enough since.
         self.standing = False
+        self.promised: Ballot = NO_BALLOT  # in the change to the list after this one
+        self.pending: tuple[Ballot, tuple[str, ...]] | None = None  # accepted in it
 
     def found(self, crew: Crew | None, standing: bool, version: Version, body: bytes) -> None:
         """What the disk holds at the start."""
@@ -50,7 +47,7 @@
 
     def first(self, seeds: tuple[str, ...]) -> None:
         """The very first start, on empty disks: all are told the same seeds, and they vote."""
-        self.crew = Crew(1, 0, tuple(sorted(seeds)), True)
+        self.crew = Crew(1, tuple(sorted(seeds)))
         self.standing = self.own in self.crew.names
 
     def rises(self, version: Version) -> bool:
@@ -62,6 +59,10 @@
             self.version, self.body = version, body
 
     def votes(self) -> bool:
+        """Whether what it holds counts: its disk is whole, and no change of who votes has its word."""
+        return self.member() and self.pending is None
+
+    def member(self) -> bool:
         return self.standing and self.own in self.crew.names
 
     def vote(self) -> Vote:
@@ -91,18 +92,40 @@
         it holds no less. Its own copy does not count: it may have lost one that it had acknowledged."""
         others = {name: vote for name, vote in votes.items() if name != self.own}
         newest = replace_own(self).newest(others)
-        return (self.own in self.crew.names and self.crew.sure and not self.standing
+        return (self.own in self.crew.names and not self.standing
                 and newest is not None and self.version >= newest)
 
     def learn_crew(self, votes: dict[str, Vote]) -> Crew | None:
         """A newer list of voters that another core tells of."""
-        newest = max((vote.crew for vote in votes.values()),
-                     key=lambda crew: (crew.number, crew.ballot, crew.sure), default=Crew())
-        return newest if newest.after(self.crew) else None
+        newest = max((vote.crew for vote in votes.values()), key=lambda crew: crew.number, default=Crew())
+        return newest if newest.number > self.crew.number else None
+
+    # ---- a change of who votes, at one voter ----
+
+    def promise(self, number: int, ballot: Ballot) -> bool:
+        if number != self.crew.number + 1 or not self.member() or ballot < self.promised:
+            return False
+        self.promised = ballot
+        return True
+
+    def accept(self, number: int, ballot: Ballot, names: tuple[str, ...]) -> bool:
+        if not self.promise(number, ballot):
+            return False
+        self.pending = (ballot, names)
+        return True
+
+    def sure(self, crew: Crew) -> bool:
+        """A newer list is decided, and what was acknowledged is held by a majority of it."""
+        if crew.number <= self.crew.number:
+            return False
+        self.crew, self.promised, self.pending = crew, NO_BALLOT, None
+        # Who did not vote before copies first, like one that lost its disk.
+        self.standing = self.standing and self.own in crew.names
+        return True
 
 
 def replace_own(word: Word) -> Word:
     """The same core as one that votes for nothing."""
     bare = Word(word.own)
-    bare.crew = replace(word.crew)
+    bare.crew = word.crew
     return bare
--- a/stoneyoke/pilotage/lookout.py
+++ b/stoneyoke/pilotage/lookout.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import time
+import zlib
 from collections.abc import Callable
 
 from loguru import logger
@@ -15,7 +16,7 @@
 from stoneyoke.signals.wires import Unheard, Wire
 
 CALL_S = 0.6
-WAIT_MS = 400  # how long a core may hold a pull until there is news
+WAIT_MS = 1000  # how long a core may hold a pull until there is news
 PAUSE_S = 0.15
 
 
@@ -59,7 +60,7 @@
         beat = name in watchers(self.name, self.roster.sources)
         news = await self.wires[name].call(Pull(
             self.name, self.ip, "pilot", self.zone, source.life, source.seq,
-            (self.version.number, self.version.digest), self.ready, beat, WAIT_MS, self.life),
+            (self.version.number, self.version.digest), self.ready, beat, WAIT_MS, self.life, source.roll),
             CALL_S + WAIT_MS / 1000)
         if not isinstance(news, News):
             raise Unheard("an answer of another kind")
@@ -74,12 +75,16 @@
             source = self.roster.sources[name]
             if not source.news or Version(*source.news.stamp) <= self.version:
                 return
-            bill = await self.wires[name].call(Fetch(), CALL_S + 2.0)
+            near = self.roster.holders(Version(*source.news.stamp), self.zone)[0]
+            try:
+                bill = await self.wires[near].call(Fetch(), CALL_S)
+            except Unheard:
+                bill = await self.wires[name].call(Fetch(), CALL_S + 2.0)
         if not isinstance(bill, Bill):
             raise Unheard("an answer of another kind")
         try:
-            chart = read_chart(bill.body)
-        except Unfit as bad:
+            chart = read_chart(zlib.decompress(bill.body))
+        except (Unfit, zlib.error) as bad:
             logger.error("a configuration from {} can't be read: {}", name, bad)
             return
         if chart.version > self.version:  # within one life nothing goes back
--- a/stoneyoke/pilotage/roster.py
+++ b/stoneyoke/pilotage/roster.py
@@ -11,7 +11,7 @@
 from stoneyoke.lading.charts import Version
 from stoneyoke.signals.messages import News
 
-TOUCH_S = 1.5
+TOUCH_S = 2.2  # more than a pull may be held, and what it takes to open a connection again
 DROP_S = 20.0  # silent by all cores in touch for so long, a backend is dropped
 
 
@@ -24,6 +24,8 @@
     heard_at: float = -1e9
     news: News | None = None
     phases: dict[str, int] = field(default_factory=dict)  # by instance, as this core has it
+    roll: int = -1
+    pilots: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -50,6 +52,8 @@
         if news.whole or news.life != source.life:
             source.phases = {}
         source.life, source.seq, source.heard_at, source.news = news.life, news.seq, now, news
+        if news.whole or news.roll != source.roll:
+            source.roll, source.pilots = news.roll, tuple(news.pilots)
         for other in news.cores:
             self.sources.setdefault(other, Source())
         for told in news.rows:
@@ -108,6 +112,11 @@
 
     # ---- cores and gateways ----
 
+    def holders(self, version: Version, zone: str) -> list[str]:
+        """Cores that hold this version or a higher one, those of a zone first."""
+        held = [name for name, one in self.sources.items() if one.news and Version(*one.news.stamp) >= version]
+        return sorted(held, key=lambda name: (news := self.sources[name].news) is None or news.zone != zone)
+
     def crew(self) -> tuple[str, ...]:
         """Who votes, by the newest list told."""
         told = [one.news for one in self.sources.values() if one.news and one.news.crew_number]
@@ -130,11 +139,15 @@
 
     def pilots(self, now: float) -> list[str]:
         """Gateways whose beats cores in touch have heard, sorted."""
-        return sorted({name for one in self.near(now) if one.news for name in one.news.pilots})
+        return sorted({name for one in self.near(now) for name in one.pilots})
 
     def keeper(self, now: float) -> str:
         """Who holds the duty of the quotas, by most cores in touch."""
         said = [one.news.keeper for one in self.near(now) if one.news and one.news.keeper]
+        own = [name for name, one in self.sources.items()
+               if now - one.heard_at < TOUCH_S and one.news and one.news.keeper == name]
+        if own:  # its own word is the newest
+            return max(own, key=lambda name: self.sources[name].heard_at)
         return max(sorted(set(said)), key=said.count) if said else ""
 
     # ---- backends ----
--- a/stoneyoke/programs/harbourmaster.py
+++ b/stoneyoke/programs/harbourmaster.py
@@ -28,7 +28,8 @@
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
     office = Office(settings.name, settings.ip, settings.port, settings.zone, Hold(settings.data_dir),
                     settings.seeds, first_start=settings.first_start,
-                    silent_s=SILENT_BEATS * settings.beat_s + 0.5, bounds=settings.bounds)
+                    silent_s=SILENT_BEATS * settings.beat_s + 0.5, bounds=settings.bounds,
+                    losses=settings.losses)
     desk = Desk(office.call, settings.memory // BODY_PART)
     station = Station(office.meet)
 
--- a/stoneyoke/signals/messages.py
+++ b/stoneyoke/signals/messages.py
@@ -36,12 +36,14 @@
     beat: bool
     wait_ms: int
     own_life: str
+    roll: int  # the number of that core's roll that the asker has
 
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """rows: berths that changed; whole: all of them. crew: who votes, and the number of that list. pilots: names
-    of the gateways whose beats were heard. keeper: who holds the duty of the quotas, "" if not known."""
+    """rows: berths that changed; whole: all of them. crew: who votes, and the number of that list. roll: rises with
+    each change of cores and pilots, which are told only to those that lack them. pilots: names of the gateways whose
+    beats were heard. keeper: who holds the duty of the quotas, "" if not known."""
 
     life: str
     seq: int
@@ -52,9 +54,11 @@
     settled: bool  # it has asked others for the berths that it may have known in an earlier life
     crew_number: int
     crew: list[str]
+    keeper: str
+    zone: str
+    roll: int
     cores: list[str]
     pilots: list[str]
-    keeper: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +68,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Bill:
+    """body: the operator's text, deflated: gateways' links are thin and all ask at once."""
+
     stamp: Stamp
     body: bytes
 
@@ -100,22 +106,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Muster:
-    """Who votes: a core is to hold this list. ballot orders rival lists of one number; `old` is the list before."""
+    """A step of a change of who votes: "promise", "accept" or "sure"; the list's number, the round's ballot."""
 
+    step: str
     number: int
-    ballot: int
+    ballot: tuple[int, str]
     crew: list[str]
-    sure: bool
 
 
 @dataclass(frozen=True, slots=True)
 class Mustered:
-    number: int
-    ballot: int
+    """crew_number, crew: the list that is sure here. pending: what was accepted after it, with its ballot."""
+
+    ok: bool
+    crew_number: int
     crew: list[str]
-    sure: bool
+    promised: tuple[int, str]
+    pending_ballot: tuple[int, str]
+    pending: list[str]
     stamp: Stamp
-    standing: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/test_harbour.py
+++ b/tests/system/test_harbour.py
@@ -9,7 +9,7 @@
 from stoneyoke.harbour.word import Crew, Vote, Word
 from stoneyoke.lading.charts import Version
 
-ABC = Crew(1, 0, ("a", "b", "c"), True)
+ABC = Crew(1, ("a", "b", "c"))
 
 
 def core(own, number=0, standing=True, crew=ABC):
@@ -39,7 +39,7 @@
 def _():
     word = core("a", 5)
     assert not word.kept(Version(5), {"b": Vote(Version(5), ABC, False)})
-    assert not word.kept(Version(5), {"b": Vote(Version(5), Crew(2, 0, ABC.names, True), True)})
+    assert not word.kept(Version(5), {"b": Vote(Version(5), Crew(2, ABC.names), True)})
     assert not word.kept(Version(5), {"x": Vote(Version(5), ABC, True)})
     assert not core("d", 5).kept(Version(5), votes(b=5))
 
@@ -56,7 +56,7 @@
 
 @test("five voters: an empty one needs three others")
 def _():
-    five = Crew(1, 0, tuple("abcde"), True)
+    five = Crew(1, tuple("abcde"))
     wiped = Word("a")
     wiped.found(five, False, Version(9), b"x")
     said = {name: Vote(Version(1), five, True) for name in "bcd"}
@@ -77,7 +77,7 @@
     word = core("a", 5)
     word.hold(Version(4), b"old")
     assert word.version == Version(5) and word.learn_crew(votes(b=9)) is None
-    newer = Crew(2, 0, ("a", "b", "d"), True)
+    newer = Crew(2, ("a", "b", "d"))
     assert word.learn_crew({"d": Vote(Version(1), newer, True)}) == newer
 
 
