--- a/tests/system/pilot_town.py
+++ b/tests/system/pilot_town.py
@@ -118,9 +118,10 @@
                   wait=b"3000", raw=None):
         """Status, headers by lower-case name, body of one request on a connection of its own."""
         self.sent += 1
+        own = b"Api-Key: %s\r\n" % key if key else b""
         head = raw or (b"%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a-%d\r\nDeadline-Ms: %s\r\n%s%s"
-                       b"Content-Length: %d\r\n\r\n%s" % (method, path, host, self.sent, wait, b"Api-Key: %s\r\n" % key if key else b"",
-                                    more, len(body), body))
+                       b"Content-Length: %d\r\n\r\n%s"
+                       % (method, path, host, self.sent, wait, own, more, len(body), body))
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         try:
             writer.write(head)
