--- a/stoneyoke/limits/shares.py
+++ b/stoneyoke/limits/shares.py
@@ -28,6 +28,7 @@
 START = 0.2
 FIRST = 0.15
 RESERVE = 0.35  # of its part of what the store holds: what it was told is up to a round old
+FRESH_S = 0.6
 FEWEST = 16  # gateways that a new life counts with until it has been told how many there are
 
 
@@ -164,15 +165,17 @@
     demand: float = 0.0  # since the keeper was told last
     pace: float = 0.0  # demand a second, decayed
     at: float = 0.0
+    told_at: float = 0.0
 
     def count(self, units: float, now: float) -> None:
         self.demand += units
         self.pace = self.pace * float(0.5 ** ((now - self.at) / FADE_S)) + units * 0.693 / FADE_S
         self.at = now
 
-    def paced(self, now: float) -> bool:
-        """It had demand of late: then what it may use without a keeper is to be told anew each round."""
-        return now - self.at < 3 * FADE_S
+    def left(self, heard_at: float) -> float:
+        """Units that a slice begins with, heard_at being when the keeper was heard last: what was told long before
+        that may be used up. (Told anew each round, it was half of all bytes between zones with 75 gateways.)"""
+        return self.reserve if heard_at - self.told_at < FRESH_S else 0.0
 
     def take(self, units: float) -> bool:
         if self.level < units:
@@ -186,7 +189,7 @@
 
     def hear(self, units: float, wait: float, part: float, reserve: float, now: float) -> None:
         self.level += units
-        self.part, self.reserve = part, reserve
+        self.part, self.reserve, self.told_at = part, reserve, now
         if units > 0:
             self.shut_until = 0.0
         elif wait > 0:
--- a/stoneyoke/pilotage/admission.py
+++ b/stoneyoke/pilotage/admission.py
@@ -77,14 +77,15 @@
         return self.advised(customer, shut) if shut > 0 else self.alone(customer, call, purse)
 
     def alone(self, customer: Customer, call: Arrival, purse: Purse) -> int:
+        reserve = purse.left(self.heard_at / SECOND)
         if self.alone_at.get(call.customer, -LONG_AGO) < self.heard_at:
             self.alone_at[call.customer] = self.now
             plan, gateways = customer.plan, self.terms.gateways
             first = FIRST * spare(plan.rate, plan.burst, self.bounds) / gateways
-            customer.store.level, customer.store.at = max(purse.reserve, min(2.0, first)), self.now
+            customer.store.level, customer.store.at = max(reserve, min(2.0, first)), self.now
         even = 1 / self.terms.gateways
         customer.slice = max(purse.part or even, 0.1 * even)
-        customer.store.reshape(customer.plan.rate * customer.slice, max(customer.depth(), purse.reserve), self.now)
+        customer.store.reshape(customer.plan.rate * customer.slice, max(customer.depth(), reserve), self.now)
         wait = self.slice_wait(customer, call)
         if wait > 0:
             return self.advised(customer, wait)
--- a/stoneyoke/pilotage/teller.py
+++ b/stoneyoke/pilotage/teller.py
@@ -64,7 +64,7 @@
         wants = []
         for tenant, purse in self.purses.items():
             waiting = self.waiting.get(tenant, 0)
-            if waiting or purse.demand or purse.paced(now):
+            if waiting or purse.demand:
                 want = purse.want(waiting) if now >= purse.shut_until else 0.0
                 wants.append((tenant, max(0.0, want - purse.level), purse.demand, purse.level))
                 purse.demand = 0.0
--- a/tests/system/pilot_town.py
+++ b/tests/system/pilot_town.py
@@ -109,8 +109,6 @@
 
     async def __aexit__(self, *_):
         self.server.close()
-        for pier in self.piers.piers.values():
-            pier.runtime.gateway.handlers.clear()
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
 
--- a/tests/system/test_pilot.py
+++ b/tests/system/test_pilot.py
@@ -103,10 +103,18 @@
 @test("a read that failed at one backend is asked of another, within the route's tries")
 @on_loop
 async def _():
-    failing, other = Backend(lambda _: b""), Backend()
-    async with Gateway([failing, other], change=lambda c: route(c, 0, 1).update(route_kind="pure")) as gateway:
-        for _ in range(3):
-            assert (await gateway.ask(method=b"GET", body=b""))[0] == 200
+    failed = []
+
+    def once(request):
+        if failed:
+            return ok(request)
+        failed.append(request)
+        return b""
+
+    backends = [Backend(once), Backend(once)]
+    async with Gateway(backends, change=lambda c: route(c, 0, 1).update(route_kind="pure")) as gateway:
+        assert (await gateway.ask(method=b"GET", body=b""))[0] == 200
+        assert [len(one.got) for one in backends] == [1, 1]
     alone = Backend(lambda _: b"")
     async with Gateway([alone, Backend(lambda _: b"")], change=lambda c: route(c, 0, 1).update(
             route_kind="pure", max_tries=1)) as gateway:
--- a/tests/system/test_shares.py
+++ b/tests/system/test_shares.py
@@ -47,6 +47,8 @@
         stage = self.stages[at]
         wants = []
         for tenant, purse in stage.purses.items():
+            if not waiting and not purse.demand:
+                continue
             want = purse.want(waiting) if self.now >= purse.shut_until else 0.0
             wants.append((tenant, max(0.0, want - purse.level), purse.demand, purse.level))
             purse.demand = 0.0
