--- a/stoneyoke/limits/shares.py
+++ b/stoneyoke/limits/shares.py
@@ -28,7 +28,7 @@
 START = 0.2
 FIRST = 0.15
 RESERVE = 0.35  # of its part of what the store holds: what it was told is up to a round old
-FRESH_S = 0.6
+FRESH_S = 4.0
 FEWEST = 16  # gateways that a new life counts with until it has been told how many there are
 
 
@@ -138,11 +138,14 @@
         pool = self.pools.get(tenant)
         if pool is None:  # not limited here; a gateway with a newer configuration asks again
             return tenant, 0.0, 0.2, 0.0, 0.0
-        pool.fill(self.kept_back(pool, now), now)
+        kept_back = self.kept_back(pool, now)
+        pool.fill(kept_back, now)
         seat = pool.seats.setdefault(name, Seat(at=now))
         seat.count(min(max(0.0, demand), 1e6), now)
-        total = sum(one.faded(now) for one in pool.seats.values())
-        seat.part = seat.faded(now) / total if total > 0 else 0.0
+        # Parts of what is not kept back for those that may still use theirs: together they are never over the whole.
+        total = sum(one.faded(now) for other, one in pool.seats.items() if now - self.heard.get(other, -1e9) <= SILENT_S
+                    or other == name)
+        seat.part = (1 - kept_back) * seat.faded(now) / total if total > 0 else 0.0
         if now - self.born < LEARN_S:  # not all have told their demand yet: the first would get it all
             seat.part = min(seat.part, 1 / max(1, len(self.heard)))
         units = float(int(max(0.0, min(want, pool.level, max(1.0, pool.burst * seat.part)))))
