--- /dev/null
+++ b/stoneyoke/programs/bosun.py
@@ -0,0 +1,205 @@
+"""bosun: an operator's hands on the running system. One job a call; needs nothing that a serving process does not.
+
+    bosun check FILE              a configuration, offline, by the same table of settings
+    bosun diff FILE FILE          what the second changes
+    bosun --core ADDRESS put FILE          replace the configuration
+    bosun --core ADDRESS read              read it back
+    bosun --core ADDRESS look              a core's view: versions, voters, gateways, backends, duty
+    bosun --core ADDRESS watch VERSION     until every gateway in touch has it
+    bosun hold FOLDER             what a core's data folder holds, and what in it is torn
+"""
+
+import http.client
+import json
+import os
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from absl import app, flags
+
+from stoneyoke.hold.stow import Hold, HoldError
+from stoneyoke.lading.calls import addressed
+from stoneyoke.lading.charts import NUMBER, Chart, read_chart
+from stoneyoke.lading.tables import Unfit
+
+CORES = flags.DEFINE_list("core", [], "Addresses of core machines (control_addr), asked in turn.")
+AS_JSON = flags.DEFINE_bool("json", False, "Print one JSON object in place of lines.")
+WITHIN = flags.DEFINE_float("within", 10.0, "Seconds to go on trying.", lower_bound=0.1)
+CALL_S = 2.0
+PAUSE_S = 0.2
+IN_TOUCH_S = 3.0
+
+
+class BosunError(Exception):
+    """What the operator is told in one line; the program ends with 1."""
+
+
+def load(path: str) -> Chart:
+    try:
+        with open(path, "rb") as file:
+            return read_chart(file.read())
+    except OSError as bad:
+        raise BosunError(f"{path} can't be read: {bad}") from bad
+    except Unfit as bad:
+        raise BosunError(f"{path}: {bad.path}: {bad.why}") from bad
+
+
+def call(method: str, path: str, body: bytes = b"") -> bytes:
+    """The answer of the first core that has one; tried again, unchanged, until the time is up."""
+    if not CORES.value:
+        raise BosunError("--core names no address")
+    for core in CORES.value:
+        if why := addressed(core):
+            raise BosunError(f"--core: {why}")
+    until, last = time.monotonic() + WITHIN.value, "no core was asked"
+    while time.monotonic() < until:
+        for core in CORES.value:
+            host, _, port = core.rpartition(":")
+            line = http.client.HTTPConnection(host, int(port), timeout=CALL_S + len(body) / (1 << 20))
+            try:
+                line.request(method, path, body, {"Content-Type": "application/json"})
+                answer = line.getresponse()
+                data = answer.read()
+            except (OSError, http.client.HTTPException) as bad:
+                last = f"{core}: {bad or type(bad).__name__}"
+                continue
+            finally:
+                line.close()
+            if answer.status == 200:
+                return data
+            last = f"{core}: {answer.status} {data.decode(errors='replace')[:300]}"
+            if answer.status < 500:
+                raise BosunError(last)
+        time.sleep(PAUSE_S)
+    raise BosunError(f"no answer in {WITHIN.value:g} s; last: {last}")
+
+
+def say(lines: list[str], whole: Any) -> None:
+    print(json.dumps(whole, indent=1) if AS_JSON.value else "\n".join(lines))
+
+
+def check(path: str) -> None:
+    chart = load(path)
+    routes = sum(1 for _ in chart.routes())
+    whole = {"version": str(chart.version), "services": len(chart.services), "routes": routes,
+             "tenants": None if chart.tenants is None else len(chart.tenants), "bytes": len(chart.body)}
+    say([f"{path}: {chart.version}, {len(chart.services)} services, {routes} routes, "
+         f"{len(chart.tenants or [])} tenants"], whole)
+
+
+def differences(one: Chart, other: Chart) -> list[str]:
+    """A line for each thing that was added, dropped or changed, by its name."""
+    def parts(chart: Chart) -> dict[str, Any]:
+        found: dict[str, Any] = {f"service {name}": given for name, given in chart.services.items()}
+        found |= {f"route {host}{route['path_prefix']}": route for host, route in chart.routes()}
+        found |= {f"tenant {given['label']}": given for given in chart.tenants or ()}
+        return found | {"limits": chart.limits}
+
+    old, new = parts(one), parts(other)
+    lines = [f"- {name}" for name in old if name not in new] + [f"+ {name}" for name in new if name not in old]
+    for name in (name for name in old if name in new and old[name] != new[name]):
+        changed = [field for field in old[name] if old[name][field] != new[name].get(field)]
+        for field in changed:
+            values = "" if field == "api_keys" else f" {old[name][field]!r} -> {new[name][field]!r}"
+            lines.append(f"~ {name}: {field}{values}")
+    return lines
+
+
+def diff(path: str, other: str) -> None:
+    one, two = load(path), load(other)
+    lines = differences(one, two)
+    say([f"{one.version} -> {two.version}", *lines], {"from": str(one.version), "to": str(two.version), "lines": lines})
+
+
+def put(path: str) -> None:
+    chart = load(path)
+    call("POST", "/config/replace", chart.body)
+    say([f"{chart.version} is acknowledged"], {"acknowledged": str(chart.version)})
+
+
+def read_back() -> None:
+    print(call("GET", "/config/read").decode())
+
+
+def view() -> dict[str, Any]:
+    found: dict[str, Any] = json.loads(call("GET", "/harbour"))
+    return found
+
+
+def look() -> None:
+    seen = view()
+    lines = [f"{seen['name']} at {seen['address']}: {seen['version']}, "
+             f"{'votes' if seen['votes'] else 'does not vote'}, "
+             f"{'in touch' if seen['in_touch'] else 'NOT in touch'} with most voters",
+             f"crew {seen['crew']['number']}: {', '.join(seen['crew']['voters'])}; "
+             f"quotas kept by {seen['keeper'] or '-'}"]
+    lines += [f"core {name}: {core['version']}, {'votes' if core['votes'] else 'no vote'}, silent {core['silent_s']} s"
+              for name, core in seen["cores"].items()]
+    lines += [f"pilot {name}: {pilot['version']}, {'ready' if pilot['ready'] else 'not ready'}, "
+              f"silent {pilot['silent_s']} s" for name, pilot in sorted(seen["pilots"].items())]
+    lines += [f"backend {name}: {berth['service']} at {berth['address']}, {berth['phase']}, "
+              f"silent {berth['silent_s']} s" for name, berth in sorted(seen["backends"].items())]
+    say(lines, seen)
+
+
+def watch(version: str) -> None:
+    match = NUMBER(version)
+    if not match:
+        raise BosunError(f"{version!r} is not r and a number")
+    until, late = time.monotonic() + WITHIN.value, ["no gateway is known"]
+    while time.monotonic() < until:
+        pilots = view()["pilots"]
+        near = {name: one for name, one in pilots.items() if one["silent_s"] < IN_TOUCH_S}
+        late = [name for name, one in near.items() if int(one["version"][1:]) < int(match[1])]
+        if near and not late:
+            return say([f"{version} is at all {len(near)} gateways in touch"],
+                       {"version": version, "gateways": len(near)})
+        time.sleep(PAUSE_S)
+    raise BosunError(f"{version} is not yet at: {', '.join(sorted(late))}")
+
+
+def hold(folder: str) -> None:
+    if not os.path.isdir(folder):
+        raise BosunError(f"{folder} is no folder")
+    store = Hold(folder)
+    lines, whole = [], []
+    for family, number, name in sorted(store.files()):
+        if not name.endswith(".dir"):
+            continue
+        try:
+            record = store.read(family, number)
+        except HoldError as bad:
+            lines.append(str(bad))
+            whole.append({"family": family, "number": number, "torn": True})
+            continue
+        told = str(read_chart(record[b"body"]).version) if b"body" in record else "voters " + record[b"names"].decode()
+        lines.append(f"{family}-{number}: whole, {told}")
+        whole.append({"family": family, "number": number, "torn": False, "holds": told})
+    say(lines or [f"{folder}: empty"], whole)
+
+
+JOBS: dict[str, tuple[Callable[..., None], int]] = {
+    "check": (check, 1), "diff": (diff, 2), "put": (put, 1), "read": (read_back, 0), "look": (look, 0),
+    "watch": (watch, 1), "hold": (hold, 1)}
+
+
+def run(words: list[str]) -> None:
+    job, count = JOBS.get(words[1], (None, 0)) if len(words) > 1 else (None, 0)
+    if job is None or len(words) != count + 2:
+        print(__doc__, file=sys.stderr)
+        sys.exit(2)
+    try:
+        job(*words[2:])
+    except BosunError as bad:
+        print(f"bosun: {bad}", file=sys.stderr)
+        sys.exit(1)
+
+
+def main() -> None:
+    app.run(run)
+
+
+if __name__ == "__main__":
+    main()
