--- a/stoneyoke/harbour/duties.py
+++ b/stoneyoke/harbour/duties.py
@@ -7,9 +7,9 @@
 
 from stoneyoke.harbour.quorum import majority
 
-TTL_S = 1.6
+TTL_S = 1.0
 STOP = 0.85  # of the lease, after which its holder stops: clocks run apart by less
-RENEW_S = 0.4
+RENEW_S = 0.25
 
 
 @dataclass(slots=True)
--- a/stoneyoke/harbour/office.py
+++ b/stoneyoke/harbour/office.py
@@ -282,7 +282,10 @@
         while True:
             now, crew = self.clock(), self.word.crew.names
             held = self.tenure.holds(now)
-            _, holder, left = self.grant_of(QUOTAS)
+            _, holder, _ = self.grant_of(QUOTAS)
+            if now < self.grantor.silent_until:  # nobody can have it before
+                await asyncio.sleep(self.grantor.silent_until - now)
+                continue
             if self.word.votes() and (held or not holder or holder == self.ip):
                 if not held:  # those with a lower place go first
                     await asyncio.sleep(0.1 * crew.index(self.ip) + 0.05 * secrets.randbelow(4) / 4)
--- a/stoneyoke/limits/shares.py
+++ b/stoneyoke/limits/shares.py
@@ -25,11 +25,11 @@
 LEARN_S = 1.0  # after which every gateway in touch has told a new keeper of its demand
 FADE_S = 2.0  # counted demand halves in so long
 RESERVED_MOST = 0.5
-START = 0.2
-FIRST = 0.15
+START = 0.15
+FIRST = 0.25
 RESERVE = 0.35  # of its part of what the store holds: what it was told is up to a round old
 FRESH_S = 4.0
-FEWEST = 16  # gateways that a new life counts with until it has been told how many there are
+FEWEST = 8  # gateways that a new life counts with until it has been told how many there are
 
 
 @dataclass(slots=True)
--- a/stoneyoke/pilotage/admission.py
+++ b/stoneyoke/pilotage/admission.py
@@ -82,7 +82,9 @@
             self.alone_at[call.customer] = self.now
             plan, gateways = customer.plan, self.terms.gateways
             first = FIRST * spare(plan.rate, plan.burst, self.bounds) / gateways
-            customer.store.level, customer.store.at = max(reserve, min(2.0, first)), self.now
+            # Whole units, by chance: a part of one lets nothing through, and the parts sum to the same.
+            first = min(2.0, float(int(first + self.chance.draw())))
+            customer.store.level, customer.store.at = max(reserve, first), self.now
         even = 1 / self.terms.gateways
         customer.slice = max(purse.part or even, 0.1 * even)
         customer.store.reshape(customer.plan.rate * customer.slice, max(customer.depth(), reserve), self.now)
--- a/stoneyoke/programs/pilot.py
+++ b/stoneyoke/programs/pilot.py
@@ -36,7 +36,8 @@
 IDLE_US = 4_000_000  # where a backend doesn't say for how long it keeps a connection
 OWN_DESCRIPTORS = 300  # files, the loop's own, listeners, the cores' wires
 SWEEP_S = 0.25
-YOUNG_S = 3.0  # by then the watchers have heard every gateway's beat
+FORGET_S = 10.0
+YOUNG_S = 1.5  # by then the watchers have heard every gateway's beat
 ANSWER_PART = 32  # of the memory, for one body
 
 
@@ -67,6 +68,7 @@
         self.front.admission, self.front.teller = self.admission, self.teller
         self.front.piers, self.front.roster, self.front.draw = self.piers, self.roster, random.Random(seed).random
         self.leaving, self.born = False, time.monotonic()
+        self.most, self.most_at = 1, self.born  # gateways that were told of, and when
         self.seen = self.stamp()
 
     # ---- what is heard ----
@@ -84,9 +86,11 @@
         now = time.monotonic()
         pilots = self.roster.pilots(now)
         if self.settings.name in pilots:
-            # A new life may not have been told of all yet: parts of what all share would be too large.
-            fewest = FEWEST if now - self.born < YOUNG_S else 1
-            self.piers.among(Fleet(max(fewest, len(pilots)), pilots.index(self.settings.name)))
+            # A new life, or a new life of cores, may not tell of all yet: parts of what all share would be too large.
+            if len(pilots) >= self.most or now - self.most_at > FORGET_S:
+                self.most, self.most_at = len(pilots), now
+            fewest = max(self.most, FEWEST if now - self.born < YOUNG_S else 1)
+            self.piers.among(Fleet(fewest, pilots.index(self.settings.name)))
             self.admission.among(self.piers.fleet.gateways)
         self.piers.renew()
         if not self.lookout.ready:
