A body that comes slowly has the time of an idle connection, not of a head

Cause: header_timeout_s bounded whole messages, so that a large body over a thin link ended in a 408.

--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -259,7 +259,9 @@
         now = self.clock.now()
         for client in list(self.open.values()):
             age = now - (client.met if client.fresh else client.since)
-            if client.over or client.held or age < (self.idle_us if client.idle else self.part_us):
+            # A head has its time; a body that comes slowly has as long as a connection may be idle.
+            slow = client.idle or client.messages.begun is not None and not client.messages.in_head
+            if client.over or client.held or age < (max(self.idle_us, self.part_us) if slow else self.part_us):
                 continue
             if client.whole:
                 if age >= UNTAKEN_US:
