--- a/stoneyoke/pilotage/teller.py
+++ b/stoneyoke/pilotage/teller.py
@@ -19,12 +19,15 @@
         self.name, self.life, self.keeper, self.wire, self.purses = name, life, keeper, wire, purses
         self.heard, self.clock = heard, clock
         self.heard_at = -1e9
+        self.down = False  # the last message had no answer: nobody waits for the next one's
         self.waiting: dict[str, int] = {}  # requests that wait, by tenant
         self.wanted = asyncio.Event()
         self.answered = asyncio.Event()
 
     async def ask(self, tenant: str) -> None:
-        """Returns once the keeper has answered for this tenant, or has not in time."""
+        """Returns once the keeper has answered for this tenant, or has not in time; at once while it is down."""
+        if self.down:
+            return
         self.waiting[tenant] = self.waiting.get(tenant, 0) + 1
         self.wanted.set()
         try:
@@ -32,7 +35,7 @@
                 # An answer to what was asked before this request came may hold nothing for it.
                 for _ in range(2):
                     await self.answered.wait()
-                    if self.purses[tenant].level >= 1 or self.purses[tenant].shut_until > self.clock():
+                    if self.down or self.purses[tenant].level >= 1 or self.purses[tenant].shut_until > self.clock():
                         break
         except TimeoutError:
             pass
@@ -52,13 +55,21 @@
             name = self.keeper()
             wire = self.wire(name) if name else None
             if wire is None:
+                self.fall()
                 await asyncio.sleep(0.05)
                 continue
             try:
                 await self.draw(wire)
             except Unheard:
+                self.fall()
                 await asyncio.sleep(0.05)
 
+    def fall(self) -> None:
+        """Those that wait go on without the keeper."""
+        self.down = True
+        answered, self.answered = self.answered, asyncio.Event()
+        answered.set()
+
     async def draw(self, wire: Wire) -> None:
         now = self.clock()
         wants = []
@@ -71,8 +82,10 @@
         drawn = await wire.call(Draw(self.name, self.life, int(min(60.0, now - self.heard_at) * 1000), wants),
                                 SILENT_S / 2)
         if not isinstance(drawn, Drawn) or not drawn.ok:
+            self.fall()
             await asyncio.sleep(0.02)
             return
+        self.down = False
         self.heard_at = self.clock()
         self.heard()
         for tenant, units, wait, part, reserve in drawn.gives:
--- /dev/null
+++ b/tests/system/test_teller.py
@@ -0,0 +1,85 @@
+import asyncio
+
+from ward import test
+
+from stoneyoke.limits.shares import Purse
+from stoneyoke.pilotage.teller import Teller
+from stoneyoke.signals.messages import Drawn
+from stoneyoke.signals.wires import Unheard
+
+
+class Wire:
+    """Answers each message with the next of these; an exception is raised."""
+
+    def __init__(self, answers):
+        self.answers, self.asked = list(answers), []
+
+    async def call(self, message, within_s):
+        self.asked.append(message)
+        await asyncio.sleep(0)
+        answer = self.answers.pop(0) if self.answers else Unheard("none left")
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def play(wire, story):
+    async def run():
+        heard = []
+        teller = Teller("edge-1", "l", lambda: "core", lambda _: wire, {"anna": Purse()}, lambda: heard.append(1),
+                        asyncio.get_running_loop().time)
+        task = asyncio.ensure_future(teller.run())
+        try:
+            await story(teller, heard)
+        finally:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+def given(units, wait=0.0):
+    return Drawn(True, [("anna", units, wait, 0.5, 2.0)])
+
+
+@test("requests that wait are asked for together, and share what comes")
+def _():
+    wire = Wire([given(3.0)])
+
+    async def story(teller, heard):
+        await asyncio.gather(*(teller.ask("anna") for _ in range(3)))
+        assert wire.asked[0].wants[0][:2] == ("anna", 3.0) and len(wire.asked) == 1
+        assert teller.purses["anna"].level == 3 and heard and not teller.waiting
+
+    play(wire, story)
+
+
+@test("a keeper that does not answer, or no longer is one, makes nobody wait; its next answer ends that")
+def _():
+    wire = Wire([Unheard("cut"), Drawn(False, []), given(1.0)])
+
+    async def story(teller, heard):
+        await teller.ask("anna")
+        assert teller.down and not heard
+        for _ in range(100):
+            if not teller.down:
+                break
+            teller.wanted.set()
+            teller.purses["anna"].demand = 1.0
+            await asyncio.wait_for(teller.answered.wait(), 2)
+        assert not teller.down and heard and len(wire.asked) >= 3
+
+    play(wire, story)
+
+
+@test("a tenant that is shut is told of, but nothing is asked for it")
+def _():
+    wire = Wire([given(0.0, 5.0), given(0.0, 5.0)])
+
+    async def story(teller, heard):
+        await teller.ask("anna")
+        assert teller.purses["anna"].shut_until > asyncio.get_running_loop().time() + 4
+        teller.purses["anna"].demand = 2.0
+        await teller.draw(wire)
+        assert wire.asked[1].wants[0][:3] == ("anna", 0.0, 2.0)
+
+    play(wire, story)
