--- a/stoneyoke/harbour/office.py
+++ b/stoneyoke/harbour/office.py
@@ -28,7 +28,7 @@
 from stoneyoke.lading.tables import Unfit
 from stoneyoke.limits.shares import Keeper
 from stoneyoke.signals.messages import (
-    Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, Muster, Mustered, News, Pull, Tell, Told,
+    Again, Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, Muster, Mustered, News, Pull, Tell, Told,
 )
 from stoneyoke.signals.wires import Unheard, Wire
 
@@ -77,6 +77,7 @@
         self.chart: Chart | None = None
         self.disk = asyncio.Lock()  # one record is written at a time
         self.alarm = asyncio.Event()  # set and renewed when gateways should hear of something
+        self.told: dict[str, Row] = {}  # what other cores were told of an instance last
         self.heard: dict[str, None] = {}  # instances whose beats came to this core since it told others
         self.tasks: set[asyncio.Future[Any]] = set()  # kept until they are done
         self.fresh = first_start
@@ -263,7 +264,24 @@
             await asyncio.sleep(TELL_S)
             names, self.heard = list(self.heard), {}
             if names:
-                await self.tell(self.register.heard(names, self.clock()))
+                await self.tell_beats(self.register.heard(names, self.clock()))
+            if len(self.told) > 2 * len(self.register.berths) + 100:
+                self.told.clear()
+
+    async def tell_beats(self, rows: list[Row]) -> None:
+        """Rows whole where they tell something new, else only that they were heard again."""
+        bare = [row._replace(call_seq=0, warm_s=float(row.warm_s > 0)) for row in rows]
+        fresh = [row for row, what in zip(rows, bare, strict=True) if self.told.get(row.instance) != what]
+        self.told |= {what.instance: what for what in bare}
+        if fresh:
+            await self.tell(fresh)
+        if again := [(row.instance, row.call_seq) for row in rows if row not in fresh]:
+            for peer in self.peers.values():
+                self.spawn(self.send(peer, Again(again)))
+
+    async def send(self, peer: Peer, message: Message) -> None:
+        with contextlib.suppress(Unheard):
+            await peer.wire.call(message, CALL_S)
 
     async def sweep_often(self) -> None:
         while True:
@@ -317,13 +335,9 @@
             self.grantor.ask(QUOTAS, self.ip, self.life, 0.0, self.clock())
             for name in crew:
                 if name in self.peers:
-                    self.spawn(self.give_back(self.peers[name]))
+                    self.spawn(self.send(self.peers[name], Claim(QUOTAS, self.ip, self.life, 0)))
             await asyncio.sleep(0.3 * secrets.randbelow(8) / 8)
 
-    async def give_back(self, peer: Peer) -> None:
-        with contextlib.suppress(Unheard):
-            await peer.wire.call(Claim(QUOTAS, self.ip, self.life, 0), CALL_S)
-
     def keep_quotas(self) -> None:
         now = self.clock()
         if not self.tenure.holds(now):
@@ -445,6 +459,11 @@
                 if any([self.register.hear(Row(*row), now) for row in rows]):
                     self.changed()
                 return Told()
+            case Again(beats):
+                now = self.clock()
+                if any([self.register.again(name, seq, now) for name, seq in beats]):
+                    self.changed()
+                return Told()
             case Claim(duty, holder, life, ttl_ms):
                 ok, has, left = False, "", 0.0
                 if self.word.votes():
--- a/stoneyoke/harbour/register.py
+++ b/stoneyoke/harbour/register.py
@@ -81,6 +81,14 @@
         self.changed(berth)
         return True
 
+    def again(self, instance: str, call_seq: int, now: float) -> bool:
+        """A beat that tells nothing new, by another core's word. Whether it is news for others: it was silent."""
+        berth = self.berths.get(instance)
+        if berth is None or berth.row.phase == Phase.GONE or call_seq <= berth.row.call_seq:
+            return False
+        phase = Phase.READY if berth.row.phase == Phase.SILENT else berth.row.phase
+        return self.hear(berth.told(now)._replace(call_seq=call_seq, phase=int(phase)), now)
+
     def leave(self, instance: str, now: float) -> Row:
         """It has ended; what is told of it later is old."""
         berth = self.berths.get(instance)
--- a/stoneyoke/signals/messages.py
+++ b/stoneyoke/signals/messages.py
@@ -99,6 +99,13 @@
     rows: list[Row]
 
 
+@dataclass(frozen=True, slots=True)
+class Again:
+    """Beats that tell nothing new: instances, each with its call_seq. A fifth of the bytes of their rows."""
+
+    beats: list[tuple[str, int]]
+
+
 @dataclass(frozen=True, slots=True)
 class Told:
     pass
@@ -168,12 +175,12 @@
     gives: list[tuple[str, float, float, float, float]]
 
 
-KINDS: tuple[type, ...] = (Pull, News, Fetch, Bill, Keep, Kept, Tell, Told, Muster, Mustered, Claim, Granted,
+KINDS: tuple[type, ...] = (Pull, News, Fetch, Bill, Keep, Kept, Tell, Again, Told, Muster, Mustered, Claim, Granted,
                            Draw, Drawn)
 TAGS = {kind: at for at, kind in enumerate(KINDS)}
 TYPES = {kind: [get_type_hints(kind)[one.name] for one in fields(kind)] for kind in KINDS}
 NAMES = {kind: [one.name for one in fields(kind)] for kind in KINDS}
-Message = (Pull | News | Fetch | Bill | Keep | Kept | Tell | Told | Muster | Mustered | Claim | Granted
+Message = (Pull | News | Fetch | Bill | Keep | Kept | Tell | Again | Told | Muster | Mustered | Claim | Granted
            | Draw | Drawn)
 
 
--- a/tests/system/test_harbour.py
+++ b/tests/system/test_harbour.py
@@ -144,6 +144,21 @@
     assert register.hear(row(seq=3), 7.0) and register.berths["i-1"].row.phase == Phase.READY
 
 
+@test("a beat told again wakes a silent backend, never a gone one, and counts only forwards")
+def _():
+    register = Register(5.0)
+    register.hear(row(seq=3), 0.0)
+    assert not register.again("i-1", 3, 1.0) and not register.again("i-2", 9, 1.0)
+    assert not register.again("i-1", 4, 4.0)
+    register.sweep(8.0)
+    assert register.berths["i-1"].row.phase == Phase.READY  # heard at 4
+    register.sweep(10.0)
+    assert register.berths["i-1"].row.phase == Phase.SILENT
+    assert register.again("i-1", 5, 11.0) and register.berths["i-1"].row.phase == Phase.READY
+    register.leave("i-1", 12.0)
+    assert not register.again("i-1", 9, 13.0) and register.berths["i-1"].row.phase == Phase.GONE
+
+
 @test("a new backend at an address makes the one before silent, not the other way round")
 def _():
     register = Register(5.0)
