--- a/tests/system/test_harbour.py
+++ b/tests/system/test_harbour.py
@@ -88,7 +88,7 @@
         names = ("a", "b", "c")
         grantors = {name: Grantor(0.0, True) for name in names}
         tenures = {name: Tenure() for name in names}
-        late, now = [], 0.0
+        late, told, now = [], [], 0.0  # messages under way, and answers
         for _ in range(400):
             now += chance.expovariate(20)
             who = chance.choice(names)
@@ -108,7 +108,10 @@
                 _, asker, voter, began = item
                 ok, _, _ = grantors[voter].ask("duty", asker, asker, TTL_S, now)
                 if chance.random() < 0.8:
-                    tenures[asker].answer(voter, ok, names, began, now)
+                    told.append((now + chance.choice((0.0, 0.05, 1.5)) * chance.random(), asker, voter, ok, began))
+            for item in sorted(one for one in told if one[0] <= now):
+                told.remove(item)
+                tenures[item[1]].answer(item[2], item[3], names, item[4], now)
             holders = [name for name in names if tenures[name].holds(now)]
             assert len(holders) <= 1, (seed, now, holders)
     assert STOP < 1
