--- a/tests/system/test_office.py
+++ b/tests/system/test_office.py
@@ -86,8 +86,10 @@
         harbour.cut("10.0.0.1")
         alone = harbour.offices["10.0.0.1"]
         await harbour.until(lambda: not alone.in_touch())
+        began = alone.clock()
         for asked in (put(5), beat(), beat(2, "draining")):
             assert isinstance(await alone.call(asked), Unable)
+        assert alone.clock() - began < 0.1
         assert await harbour.offices["10.0.0.2"].call(put(5)) == Noted()
         harbour.cuts = set()
         await harbour.until(lambda: alone.word.version.number == 5)
