--- a/tests/system/test_harbour.py
+++ b/tests/system/test_harbour.py
@@ -130,6 +130,7 @@
         for one in mixed:
             register.hear(one, 1.0)
         assert register.berths["i-1"].row.phase == Phase.GONE
+        assert not register.hear(row(seq=9), 2.0) and register.berths["i-1"].row.phase == Phase.GONE
     register = Register(5.0)
     assert register.hear(told[2], 1.0) and not register.hear(told[1], 1.1)
     assert register.berths["i-1"].row.phase == Phase.DRAINING
--- a/tests/system/test_pilot.py
+++ b/tests/system/test_pilot.py
@@ -5,8 +5,11 @@
 from pilot_town import Backend, Gateway, ok
 from ward import test
 
+from stoneyoke.control import Gateway as Module
 from stoneyoke.harbour.register import Phase
-from stoneyoke.interface import Outcome
+from stoneyoke.interface import (
+    Arrival, CallOut, CallOutEnded, Effect, FleetNews, Group, Listed, Method, Outcome, Plan, State, Terms,
+)
 from stoneyoke.lading.charts import read_chart
 from stoneyoke.pilotage.piers import Fleet
 from stoneyoke.pilotage.routes import table_of
@@ -181,6 +184,7 @@
         for _ in range(5):
             assert (await gateway.ask())[0] == 200
         assert not drains.got and len(stays.got) == 10
+        assert "i-0" not in gateway.roster.moorings
 
 
 @test("over quota is a 429 with a time, at once and without a backend; with units it passes")
@@ -264,3 +268,26 @@
     assert told(503, not_run=b"1") is told(421) is told(400, not_run=b"1") is Outcome.TURNED_AWAY
     assert told(503) is told(429) is told(408) is Outcome.BROKEN
     assert told(500) is told(504) is Outcome.ERROR and told(404) is Outcome.OK and judge(None) is Outcome.BROKEN
+
+
+@test("the module sends on only while its part of the budget lasts, and only what came to a backend counts")
+def _():
+    def call_outs(outcome, depth):
+        """Of ten requests at nine backends, each of which ends that way."""
+        method = Method(Effect.IDEMPOTENT, Group.CELL, 1_000_000, 9_000_000, 0, 1.0, 3)
+        module = Module(Terms(7, 1, 0, 0, (method,), (Plan(0.0, 0.0, 1.0, 0, 0.0, 0.0),), 9, False, False, False, True,
+                              False, False, 1.0, 1.0, 1, 9.0, 1, 0.1, 0.0, depth), 0)
+        module.handle(FleetNews(True, False, [Listed(at, 0, 0, 0, State.READY) for at in range(9)]), 0)
+        count = 0
+        for rpc in range(10):
+            told, sent = module.handle(Arrival(rpc, 0, 0, 0, 0, 9_000_000, 1.0, 1.0), 1000 + rpc), 0
+            while out := [one for one in told if isinstance(one, CallOut)]:
+                told = module.handle(CallOutEnded(rpc, sent, out[0].backend, outcome, False, 0.0), 1000 + rpc)
+                sent += 1
+            count += sent
+        return count
+
+    free = call_outs(Outcome.ERROR, 0.0)
+    assert free > 14  # without a budget, up to three each, while backends don't rest
+    assert call_outs(Outcome.ERROR, 2.0) <= 10 + 1 + 0.1 * 10
+    assert call_outs(Outcome.NO_CONNECTION, 2.0) == 9  # nothing arrived: all are tried, then all rest
--- a/tests/system/test_shares.py
+++ b/tests/system/test_shares.py
@@ -150,6 +150,28 @@
     assert town.refused < 0.06 * town.asked
 
 
+@test("a message that wants nothing is answered without a wait; one that finds the store empty with one")
+def _():
+    keeper = Keeper(BOUNDS, 0.0)
+    keeper.plans(PLANS)
+    (_, units, wait, *_), = keeper.draw("a", "1", 0.0, [("anna", 0.0, 9.0, 0.0)], 0.1)
+    assert units == 0 and wait == 0
+    (_, units, wait, *_), = keeper.draw("a", "1", 0.0, [("anna", 99.0, 9.0, 0.0)], 0.1)
+    assert units > 0 and wait == 0
+    (_, units, wait, *_), = keeper.draw("a", "1", 0.0, [("anna", 1.0, 9.0, 0.0)], 0.1)
+    assert units == 0 and wait > 0
+
+
+@test("the first that tells a new keeper of its demand is not told that it is all there is")
+def _():
+    keeper = Keeper(BOUNDS, 0.0, [f"g{at}" for at in range(8)])
+    keeper.plans(PLANS)
+    (*_, part, _), = keeper.draw("g0", "1", 0.0, [("anna", 1.0, 9.0, 0.0)], 0.2)
+    assert 0 < part <= 1 / 8
+    (*_, part, _), = keeper.draw("g0", "1", 0.0, [("anna", 1.0, 9.0, 0.0)], 20.0)
+    assert part > 0.9
+
+
 @test("what silent gateways may use is kept back, and not what ended ones did")
 def _():
     keeper = Keeper(BOUNDS, 0.0)
