--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run harbour clean
+.PHONY: build test lint run cluster clean
 
 build: .venv  ## an environment with what the gateway needs, compiled as release builds run it
 
@@ -22,9 +22,9 @@
 run: .venv  ## one gateway in this shell; NODE_CONFIG names its configuration
 	exec $(PYTHON) -O -m stoneyoke
 
-harbour: .venv  ## the whole system on this machine: three cores, two gateways, stand-in backends; Ctrl-C ends it
+cluster: .venv  ## the whole system on this machine: three cores, two gateways, stand-in backends; Ctrl-C ends it
 	$(PYTHON) -m pip install -q -r requirements-system.txt
-	$(PYTHON) -m stoneyoke.lab.harbour
+	$(PYTHON) -m stoneyoke.lab.cluster
 
 clean:
 	rm -rf .venv .venv-ci target .mypy_cache .ruff_cache .pytest_cache .hypothesis
--- a/stoneyoke/__main__.py
+++ b/stoneyoke/__main__.py
@@ -67,8 +67,11 @@
         except ValueError as bad:
             raise BadStart(f"'seed' is no hex number: {given['seed']!r}") from bad
         self.terms = read_terms(seed, settings)
-        self.names = Names([field(row, "name", str) for row in settings["classes"]],
-                           [field(row, "name", str) for row in settings["tariffs"]], self.terms)
+        self.names = Names(
+            [field(row, "name", str) for row in settings["classes"]],
+            [field(row, "name", str) for row in settings["tariffs"]],
+            self.terms,
+        )
         caps = settings["caps"]
         self.dial_us, self.idle_us = (field(caps, key, int, 1) for key in ("dial-timeout-us", "conn-idle-us"))
         self.slack_us = field(settings["rules"], "answer-slack-us", int)
@@ -100,17 +103,24 @@
         room = Room(charter.descriptors - OWN_DESCRIPTORS - 2 * part, part)
         self.clock, self.tally = Clock(), Tally()
         self.runtime = Runtime(charter.terms, self.clock, self.tally)
-        self.backends = Backends(self.clock, self.tally, charter.dial_us, charter.idle_us, room,
-                                 max(BODY_TOP, charter.memory // ANSWER_PART))
-        self.clients = Clients(self.clock, self.tally, self.runtime, self.backends, charter.names,
-                               charter.slack_us, room, charter.descriptors)
+        self.backends = Backends(
+            self.clock, self.tally, charter.dial_us, charter.idle_us, room, max(BODY_TOP, charter.memory // ANSWER_PART)
+        )
+        self.clients = Clients(
+            self.clock,
+            self.tally,
+            self.runtime,
+            self.backends,
+            charter.names,
+            charter.slack_us,
+            room,
+            charter.descriptors,
+        )
         self.counter: Counter | None = None
         if charter.counter:
-            self.counter = Counter(
-                self.clock, self.tally, self.runtime, charter.counter, charter.count_limit_us)
+            self.counter = Counter(self.clock, self.tally, self.runtime, charter.counter, charter.count_limit_us)
             self.runtime.add_count = self.counter.add
-        self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget,
-                           self.runtime.knows)
+        self.fleet = Fleet(charter.zones, self.backends.place, self.backends.forget, self.runtime.knows)
         self.backends.takes = self.fleet.takes
         self.discovery = Discovery(self.tally, self.told)
         self.peers: Peers | None = None
@@ -119,8 +129,14 @@
 
             zone = charter.zones[charter.terms.zone] if charter.terms.zone < len(charter.zones) else ""
             self.peers = transport.Peers(
-                transport.own_member(fleet_terms, str(zone)), fleet_terms.listen, fleet_terms.seeds,
-                fleet_terms.keys, self.runtime, self.clock, self.tally)
+                transport.own_member(fleet_terms, str(zone)),
+                fleet_terms.listen,
+                fleet_terms.seeds,
+                fleet_terms.keys,
+                self.runtime,
+                self.clock,
+                self.tally,
+            )
         self.clients.informed = self.discovery.spoke
 
     def told(self, news: News) -> None:
@@ -139,8 +155,12 @@
         listener = socket.create_server(self.charter.listen)
         self.server = await loop.create_server(self.clients.line, sock=listener, backlog=self.accepts)
         listener.listen(WAITING)  # the loop has set it to what it accepts in a turn; more may wait
-        logger.info("gateway {} of {} listens on {}:{}", self.runtime.terms.own_index,
-                    self.runtime.terms.gateways, *self.charter.listen)
+        logger.info(
+            "gateway {} of {} listens on {}:{}",
+            self.runtime.terms.own_index,
+            self.runtime.terms.gateways,
+            *self.charter.listen,
+        )
 
     def reload(self) -> None:
         """SIGHUP: discovery and counter are where the file says now; all that is known stays. Whatever else
--- a/stoneyoke/lading/calls.py
+++ b/stoneyoke/api/calls.py
@@ -1,14 +1,14 @@
 """The calls of backends and operators: a pair of types each, what is asked and what is answered (PROTOCOL).
 
-`ask()` turns a request's method, path and body into what is asked, or into a Refused; `answer()` the other way."""
+`ask()` turns a request's method, path and body into what is asked, or into a Rejected; `answer()` the other way."""
 
 import json
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from stoneyoke.lading.charts import Chart, read_chart, read_json
-from stoneyoke.lading.tables import NEEDED, Setting, Table, Unfit, at_least, filled, one_of, read
+from stoneyoke.api.configuration import Configuration, read_configuration, read_json
+from stoneyoke.api.schema import NEEDED, Setting, Table, InvalidField, at_least, filled, one_of, read
 
 INSTANCE = re.compile(r"[!-.0-~]{1,200}").fullmatch  # seen characters, no slash
 ADDRESS = re.compile(r"([0-9]{1,3}(?:\.[0-9]{1,3}){3}):([0-9]{1,5})").fullmatch
@@ -22,17 +22,23 @@
 
 BEAT: Table = (
     Setting("address", str, NEEDED, addressed),
-    Setting("details", (
-        Setting("target_service", str, NEEDED, filled),
-        Setting("generation", str, ""),
-        Setting("zone_name", str, ""),
-        Setting("capacity", int, 1, at_least(0)),
-    )),
-    Setting("observed", (
-        Setting("phase", str, NEEDED, one_of("ready", "draining")),
-        Setting("call_seq", int, NEEDED, at_least(0)),
-        Setting("warmup_left_s", float, 0.0, at_least(0)),
-    )),
+    Setting(
+        "details",
+        (
+            Setting("target_service", str, NEEDED, filled),
+            Setting("generation", str, ""),
+            Setting("zone_name", str, ""),
+            Setting("capacity", int, 1, at_least(0)),
+        ),
+    ),
+    Setting(
+        "observed",
+        (
+            Setting("phase", str, NEEDED, one_of("ready", "draining")),
+            Setting("call_seq", int, NEEDED, at_least(0)),
+            Setting("warmup_left_s", float, 0.0, at_least(0)),
+        ),
+    ),
 )
 
 
@@ -40,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """A backend's heartbeat. warm_s: how much longer it is slow; call_seq rises with each call of it."""
 
     instance: str
@@ -60,40 +66,40 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Replace:
-    chart: Chart
+class ReplaceConfiguration:
+    chart: Configuration
 
 
 @dataclass(frozen=True, slots=True)
-class ReadBack:
+class ReadConfiguration:
     pass
 
 
 @dataclass(frozen=True, slots=True)
-class Look:
+class ReadStatus:
     """What this core knows, for people and the command line."""
 
 
-Asked = Beat | Leave | Replace | ReadBack | Look
+Asked = Heartbeat | Leave | ReplaceConfiguration | ReadConfiguration | ReadStatus
 
 
 # ---- what is answered ----
 
 
 @dataclass(frozen=True, slots=True)
-class Noted:
+class Acknowledged:
     """A beat, a leave or a configuration is acknowledged."""
 
 
 @dataclass(frozen=True, slots=True)
-class Whole:
+class Document:
     """A text as it is told: the configuration as it was put, or what a core knows."""
 
     body: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class Rejected:
     """The caller's fault, with the field it lies in: it will not be taken, whoever is asked."""
 
     status: int
@@ -102,32 +108,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Unable:
+class Unavailable:
     """Not from here, not now: the caller may ask another core."""
 
     why: str
 
 
-Answer = Noted | Whole | Refused | Unable
+Answer = Acknowledged | Document | Rejected | Unavailable
 
 
 def beat(instance: str, body: bytes) -> Asked:
     given = read(read_json(body), BEAT)
     about, now = given["details"], given["observed"]
-    return Beat(instance, given["address"], about["target_service"], about["generation"], about["zone_name"],
-                about["capacity"], now["phase"] == "draining", now["call_seq"], now["warmup_left_s"])
+    return Heartbeat(
+        instance,
+        given["address"],
+        about["target_service"],
+        about["generation"],
+        about["zone_name"],
+        about["capacity"],
+        now["phase"] == "draining",
+        now["call_seq"],
+        now["warmup_left_s"],
+    )
 
 
 CALLS: tuple[tuple[str, "re.Pattern[str]", Callable[[str, bytes], Asked]], ...] = (
     ("POST", re.compile(r"/instances/([^/]+)/heartbeat"), beat),
     ("POST", re.compile(r"/instances/([^/]+)/leave"), lambda name, _: Leave(name)),
-    ("POST", re.compile(r"/config/replace()"), lambda _, body: Replace(read_chart(body))),
-    ("GET", re.compile(r"/config/read()"), lambda *_: ReadBack()),
-    ("GET", re.compile(r"/harbour()"), lambda *_: Look()),
+    ("POST", re.compile(r"/config/replace()"), lambda _, body: ReplaceConfiguration(read_configuration(body))),
+    ("GET", re.compile(r"/config/read()"), lambda *_: ReadConfiguration()),
+    ("GET", re.compile(r"/(?:status|harbour)()"), lambda *_: ReadStatus()),
 )
 
 
-def ask(method: str, target: str, body: bytes) -> Asked | Refused:
+def ask(method: str, target: str, body: bytes) -> Asked | Rejected:
     path, known = target.partition("?")[0], False
     for verb, pattern, make in CALLS:
         if not (match := pattern.fullmatch(path)):
@@ -136,22 +151,25 @@
         if verb != method:
             continue
         if match[1] and not INSTANCE(match[1]):
-            return Refused(400, "path", "an instance's id of characters that are not seen, or too long")
+            return Rejected(400, "path", "an instance's id of characters that are not seen, or too long")
         try:
             return make(match[1], body)
-        except Unfit as bad:
-            return Refused(400, bad.path, bad.why)
-    return Refused(405, "method", f"{method[:20]} is not taken here") if known else (
-        Refused(404, "path", f"no such call: {path[:80]}"))
+        except InvalidField as bad:
+            return Rejected(400, bad.path, bad.why)
+    return (
+        Rejected(405, "method", f"{method[:20]} is not taken here")
+        if known
+        else (Rejected(404, "path", f"no such call: {path[:80]}"))
+    )
 
 
 def answer(given: Answer) -> tuple[int, bytes]:
     """Status and JSON body."""
     match given:
-        case Whole(body):
+        case Document(body):
             return 200, body
-        case Refused(status, path, why):
+        case Rejected(status, path, why):
             return status, json.dumps({"field": path, "error": why}).encode()
-        case Unable(why):
+        case Unavailable(why):
             return 503, json.dumps({"error": why}).encode()
     return 200, b"{}"
--- a/stoneyoke/lading/charts.py
+++ b/stoneyoke/api/configuration.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from stoneyoke.lading.tables import NEEDED, Setting, Table, Unfit, above, at_least, filled, one_of, read
+from stoneyoke.api.schema import NEEDED, Setting, Table, InvalidField, above, at_least, filled, one_of, read
 
 NUMBER = re.compile(r"r([0-9]{1,15})").fullmatch
 TOKEN = re.compile(r"[!-~]{1,4096}").fullmatch
@@ -66,7 +66,7 @@
     Setting("hostname", str, NEEDED, token),
     Setting("path_map", [ROUTE], NEEDED),
 )
-CHART: Table = (
+CONFIGURATION: Table = (
     Setting("generation", str, NEEDED, numbered),
     Setting("service_list", [SERVICE], NEEDED),
     Setting("limits", LIMITS, None),
@@ -92,7 +92,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Chart:
+class Configuration:
     """A whole configuration that was checked. `body` is the operator's text, byte for byte."""
 
     version: Version
@@ -112,60 +112,65 @@
 
 
 def read_json(body: bytes) -> Any:
-    """Raises Unfit: a body that can't be read whole."""
+    """Raises InvalidField: a body that can't be read whole."""
     try:
         return json.loads(body, parse_constant=no_constant)
     except (ValueError, RecursionError) as bad:
-        raise Unfit("body", f"can't be read whole: {bad}"[:200]) from bad
+        raise InvalidField("body", f"can't be read whole: {bad}"[:200]) from bad
 
 
-def read_chart(body: bytes) -> Chart:
-    """A configuration out of its text. Raises Unfit, naming the first field that is wrong."""
-    given = read(read_json(body), CHART)
+def read_configuration(body: bytes) -> Configuration:
+    """A configuration out of its text. Raises InvalidField, naming the first field that is wrong."""
+    given = read(read_json(body), CONFIGURATION)
     match = NUMBER(given["generation"])
     assert match
-    chart = Chart(
-        Version(int(match[1]), blake2b(body, digest_size=16).digest()), body,
+    chart = Configuration(
+        Version(int(match[1]), blake2b(body, digest_size=16).digest()),
+        body,
         {one["label"]: one for one in given["service_list"]},
-        given["limits"] or read({}, LIMITS), given["tenant_list"], given["host_map"])
+        given["limits"] or read({}, LIMITS),
+        given["tenant_list"],
+        given["host_map"],
+    )
     if chart.version.number < 1:
-        raise Unfit("generation", "r0 is no version")
+        raise InvalidField("generation", "r0 is no version")
     if len(chart.services) < len(given["service_list"]):
-        raise Unfit("service_list", "two services share a label")
+        raise InvalidField("service_list", "two services share a label")
     check_keys(chart)
     check_routes(chart)
     return chart
 
 
-def check_keys(chart: Chart) -> None:
+def check_keys(chart: Configuration) -> None:
     holders: dict[str, str] = {}
     for at, tenant in enumerate(chart.tenants or ()):
         for spot, key in enumerate(tenant["api_keys"]):
             where = f"tenant_list[{at}].api_keys[{spot}]"
             if why := token(key):
-                raise Unfit(where, why)
+                raise InvalidField(where, why)
             if holders.setdefault(key, tenant["label"]) != tenant["label"] or (
-                    sum(other["label"] == tenant["label"] for other in chart.tenants or ()) > 1):
-                raise Unfit(where, f"two tenants share a key or a label ({tenant['label']})")
+                sum(other["label"] == tenant["label"] for other in chart.tenants or ()) > 1
+            ):
+                raise InvalidField(where, f"two tenants share a key or a label ({tenant['label']})")
 
 
-def check_routes(chart: Chart) -> None:
+def check_routes(chart: Configuration) -> None:
     places = set()
     for at, host in enumerate(chart.hosts):
         for spot, route in enumerate(host["path_map"]):
             where = f"host_map[{at}].path_map[{spot}]"
             place = (host["hostname"].lower(), route["path_prefix"])
             if place in places:
-                raise Unfit(f"{where}.path_prefix", f"two routes share {''.join(place)}")
+                raise InvalidField(f"{where}.path_prefix", f"two routes share {''.join(place)}")
             places.add(place)
             if (route["target_service"] is None) == (route["weighted"] is None):
-                raise Unfit(f"{where}.target_service", "either this or weighted is needed")
+                raise InvalidField(f"{where}.target_service", "either this or weighted is needed")
             for number, (service, _) in enumerate(targets(route)):
                 field = f"weighted[{number}].target_service" if route["weighted"] else "target_service"
                 if service not in chart.services:
-                    raise Unfit(f"{where}.{field}", f"unknown service {service[:60]!r}")
+                    raise InvalidField(f"{where}.{field}", f"unknown service {service[:60]!r}")
             if sum(share for _, share in targets(route)) <= 0:
-                raise Unfit(f"{where}.weighted", "the shares add up to 0")
+                raise InvalidField(f"{where}.weighted", "the shares add up to 0")
 
 
 def targets(route: dict[str, Any]) -> list[tuple[str, float]]:
--- a/stoneyoke/lading/tables.py
+++ b/stoneyoke/api/schema.py
@@ -8,7 +8,7 @@
 NEEDED = object()  # in place of a default
 
 
-class Unfit(Exception):
+class InvalidField(Exception):
     """A value that can't be taken; `path` names its field, `why` what is wrong with it."""
 
     def __init__(self, path: str, why: str) -> None:
@@ -50,19 +50,19 @@
 def read(given: Any, table: Table, path: str = "") -> dict[str, Any]:
     """The table's fields out of an object, defaults filled in; what the table doesn't know is left out."""
     if not isinstance(given, Mapping):
-        raise Unfit(path or "the whole", f"is no object but {shown(given)}")
+        raise InvalidField(path or "the whole", f"is no object but {shown(given)}")
     found = {}
     for setting in table:
         where = f"{path}.{setting.name}" if path else setting.name
         value = given.get(setting.name)
         if value is None:
             if setting.default is NEEDED:
-                raise Unfit(where, "is missing")
+                raise InvalidField(where, "is missing")
             found[setting.name] = setting.default
             continue
         value = fit(value, setting.kind, where)
         if setting.check and (why := setting.check(value)):
-            raise Unfit(where, why)
+            raise InvalidField(where, why)
         found[setting.name] = value
     return found
 
@@ -72,13 +72,12 @@
         return read(value, kind, where)
     if isinstance(kind, list):
         if not isinstance(value, list):
-            raise Unfit(where, f"is no list but {shown(value)}")
+            raise InvalidField(where, f"is no list but {shown(value)}")
         return [fit(one, kind[0], f"{where}[{at}]") for at, one in enumerate(value)]
     if kind is float and isinstance(value, int) and not isinstance(value, bool) and abs(value) < 1e300:
         value = float(value)
-    if not isinstance(value, kind) or kind in (int, float) and (
-            isinstance(value, bool) or not math.isfinite(value)):
-        raise Unfit(where, f"is no {kind.__name__} but {shown(value)}")
+    if not isinstance(value, kind) or kind in (int, float) and (isinstance(value, bool) or not math.isfinite(value)):
+        raise InvalidField(where, f"is no {kind.__name__} but {shown(value)}")
     return value
 
 
--- a/stoneyoke/harbour/office.py
+++ b/stoneyoke/controlplane/controller.py
@@ -1,4 +1,4 @@
-"""A harbourmaster at work: ties the control plane's state to the disk, the other cores, gateways and callers.
+"""A controller at work: ties the control plane's state to the disk, the other cores, gateways and callers.
 
 What is decided stands in word, register, duties, ring and limits.shares; this file asks them and carries out."""
 
@@ -14,23 +14,48 @@
 
 from loguru import logger
 
-from stoneyoke.harbour.crew import LOST_S, Reply, change, to_propose, wanted_size
-from stoneyoke.harbour.duties import RENEW_S, TTL_S, Grantor, Tenure
-from stoneyoke.harbour.quorum import majority
-from stoneyoke.harbour.register import Phase, Register, Row, row_of
-from stoneyoke.harbour.ring import Watch
-from stoneyoke.harbour.word import NO_BALLOT, Ballot, Crew, Vote, Word
-from stoneyoke.hold.stow import Hold, HoldError
-from stoneyoke.lading.calls import (
-    Answer, Asked, Beat, Leave, Look, Noted, ReadBack, Refused, Replace, Unable, Whole,
+from stoneyoke.controlplane.voter_set import LOST_S, Reply, change, to_propose, wanted_size
+from stoneyoke.controlplane.leases import RENEW_S, TTL_S, LeaseGranter, LeaseHolder
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.controlplane.instance_registry import Phase, InstanceRegistry, Row, row_of
+from stoneyoke.controlplane.heartbeat_ring import HeartbeatWatch
+from stoneyoke.controlplane.replica import NO_BALLOT, Ballot, VoterSet, ReplicaStatus, Replica
+from stoneyoke.storage.record_store import RecordStore, StorageError
+from stoneyoke.api.calls import (
+    Answer,
+    Asked,
+    Heartbeat,
+    Leave,
+    ReadStatus,
+    Acknowledged,
+    ReadConfiguration,
+    Rejected,
+    ReplaceConfiguration,
+    Unavailable,
+    Document,
 )
-from stoneyoke.lading.charts import Chart, Version, read_chart
-from stoneyoke.lading.tables import Unfit
-from stoneyoke.limits.shares import FORGET_S, Keeper
-from stoneyoke.signals.messages import (
-    Again, Bill, Claim, Draw, Drawn, Fetch, Granted, Keep, Kept, Message, Muster, Mustered, News, Pull, Tell, Told,
+from stoneyoke.api.configuration import Configuration, Version, read_configuration
+from stoneyoke.api.schema import InvalidField
+from stoneyoke.limits.shares import FORGET_S, QuotaAllocator
+from stoneyoke.transport.messages import (
+    InstanceRefresh,
+    FetchResponse,
+    LeaseRequest,
+    QuotaRequest,
+    QuotaResponse,
+    FetchRequest,
+    LeaseResponse,
+    StoreRequest,
+    StoreResponse,
+    Message,
+    Muster,
+    Mustered,
+    PullResponse,
+    PullRequest,
+    InstanceUpdate,
+    InstanceUpdateResponse,
 )
-from stoneyoke.signals.wires import Unheard, Wire
+from stoneyoke.transport.peers import PeerUnreachable, PeerClient
 
 ANSWER_S = 0.85  # a caller moves on after a second of silence (PROTOCOL, The operator)
 LARGE_S = 1.0 / (1 << 20)  # a second more for each MiB
@@ -53,8 +78,8 @@
 class Peer:
     """Another core: its wire, what it said of itself, and how far its news was heard."""
 
-    wire: Wire
-    vote: Vote | None = None
+    wire: PeerClient
+    vote: ReplicaStatus | None = None
     heard_at: float = -1e9
     life: str = ""
     seq: int = 0
@@ -66,22 +91,35 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
 
-class Office:
-    """port: of the cores' station. silent_s: see Register."""
-
-    def __init__(self, name: str, ip: str, port: int, zone: str, hold: Hold, seeds: tuple[str, ...], *,
-                 first_start: bool, silent_s: float, bounds: dict[str, float], losses: int,
-                 clock: Callable[[], float] = time.monotonic, dial: Callable[[tuple[str, int]], Wire] = Wire,
-                 chance: random.Random | None = None) -> None:
+class Controller:
+    """port: of the cores' station. silent_s: see InstanceRegistry."""
+
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        port: int,
+        zone: str,
+        hold: RecordStore,
+        seeds: tuple[str, ...],
+        *,
+        first_start: bool,
+        silent_s: float,
+        bounds: dict[str, float],
+        losses: int,
+        clock: Callable[[], float] = time.monotonic,
+        dial: Callable[[tuple[str, int]], PeerClient] = PeerClient,
+        chance: random.Random | None = None,
+    ) -> None:
         self.name, self.ip, self.port, self.zone, self.hold, self.clock = name, ip, port, zone, hold, clock
         self.dial, self.chance = dial, chance or random.SystemRandom()
         self.life, self.born = f"{self.chance.getrandbits(48):012x}", clock()
         self.seeds, self.first_start, self.bounds = seeds, first_start, bounds
-        self.word, self.register, self.watch = Word(ip), Register(silent_s), Watch(10.0)
-        self.grantor, self.tenure = Grantor(self.born, False), Tenure()
+        self.word, self.register, self.watch = Replica(ip), InstanceRegistry(silent_s), HeartbeatWatch(10.0)
+        self.grantor, self.tenure = LeaseGranter(self.born, False), LeaseHolder()
         self.peers: dict[str, Peer] = {}
-        self.keeper: Keeper | None = None
-        self.chart: Chart | None = None
+        self.keeper: QuotaAllocator | None = None
+        self.chart: Configuration | None = None
         self.disk = asyncio.Lock()  # one record is written at a time
         self.alarm = asyncio.Event()  # set and renewed when gateways should hear of something
         self.told: dict[str, Row] = {}  # what other cores were told of an instance last
@@ -107,9 +145,9 @@
         version, body = Version(), b""
         if word and b"body" in word:
             try:
-                self.chart = read_chart(word[b"body"])
+                self.chart = read_configuration(word[b"body"])
                 version, body = self.chart.version, self.chart.body
-            except Unfit as bad:
+            except InvalidField as bad:
                 logger.error("disk: the configuration held can't be read: {}", bad)
                 crew = None  # then this core does not know what it acknowledged: it copies before it votes
         self.word.found(read_crew(crew), bool(crew and crew.get(b"standing") == b"1"), version, body)
@@ -117,7 +155,7 @@
         if self.fresh:
             self.word.first(self.seeds)
             await self.keep_crew()
-        self.grantor = Grantor(self.clock(), self.fresh)
+        self.grantor = LeaseGranter(self.clock(), self.fresh)
         self.meet_core(*self.seeds, *self.word.crew.names)
         for work in (self.tell_often(), self.sweep_often(), self.do_duties(), self.tend_crew()):
             self.spawn(work)
@@ -152,8 +190,8 @@
 
     # ---- the operator's word on disk ----
 
-    async def keep_word(self, chart: Chart) -> None:
-        """On disk when this returns, if it is higher than what is held. Raises HoldError."""
+    async def keep_word(self, chart: Configuration) -> None:
+        """On disk when this returns, if it is higher than what is held. Raises StorageError."""
         async with self.disk:
             if not self.word.rises(chart.version):
                 return
@@ -165,10 +203,17 @@
     async def keep_crew(self) -> None:
         async with self.disk:
             crew = self.word.crew
-            await self.blocking(self.hold.keep, "crew", {
-                b"number": b"%d" % crew.number, b"names": ",".join(crew.names).encode(),
-                b"standing": b"%d" % self.word.standing, b"promised": json.dumps(self.word.promised).encode(),
-                b"pending": json.dumps(self.word.pending).encode()})
+            await self.blocking(
+                self.hold.keep,
+                "crew",
+                {
+                    b"number": b"%d" % crew.number,
+                    b"names": ",".join(crew.names).encode(),
+                    b"standing": b"%d" % self.word.standing,
+                    b"promised": json.dumps(self.word.promised).encode(),
+                    b"pending": json.dumps(self.word.pending).encode(),
+                },
+            )
         self.changed()
 
     # ---- other cores ----
@@ -186,18 +231,32 @@
             try:
                 await self.pull(peer, int(PULL_S * 1000))
                 await asyncio.sleep(0.05)
-            except Unheard:
+            except PeerUnreachable:
                 await asyncio.sleep(PAUSE_S)
             except Exception:
                 logger.exception("following {} failed", name)
                 await asyncio.sleep(1.0)
 
     async def pull(self, peer: Peer, wait_ms: int) -> None:
-        news = await peer.wire.call(Pull(
-            self.name, self.ip, "harbourmaster", self.zone, peer.life, peer.seq, stamp(self.word.version),
-            True, False, wait_ms, self.life, -1), CALL_S + wait_ms / 1000)
-        if not isinstance(news, News):
-            raise Unheard("an answer of another kind")
+        news = await peer.wire.call(
+            PullRequest(
+                self.name,
+                self.ip,
+                "controller",
+                self.zone,
+                peer.life,
+                peer.seq,
+                stamp(self.word.version),
+                True,
+                False,
+                wait_ms,
+                self.life,
+                -1,
+            ),
+            CALL_S + wait_ms / 1000,
+        )
+        if not isinstance(news, PullResponse):
+            raise PeerUnreachable("an answer of another kind")
         now = self.clock()
         if now - peer.heard_at > TOUCH_S or peer.life != news.life:
             peer.steady_at = now
@@ -209,14 +268,13 @@
             if self.register.hear(Row(*row), now):
                 self.changed()
         self.meet_core(*news.cores)
-        await self.voted(peer, Version(*news.stamp), Crew(news.crew_number, tuple(news.crew)),
-                         news.standing)
+        await self.voted(peer, Version(*news.stamp), VoterSet(news.crew_number, tuple(news.crew)), news.standing)
 
-    async def voted(self, peer: Peer, version: Version, crew: Crew, standing: bool) -> None:
+    async def voted(self, peer: Peer, version: Version, crew: VoterSet, standing: bool) -> None:
         """Another core has said what it holds: a higher configuration is copied, a newer list of voters too."""
-        if peer.vote:  # what it said in answer to a Keep may have overtaken this; within a life it only rises
+        if peer.vote:  # what it said in answer to a StoreRequest may have overtaken this; within a life it only rises
             version = max(version, peer.vote.version)
-        peer.vote = Vote(version, crew, standing)
+        peer.vote = ReplicaStatus(version, crew, standing)
         if self.word.rises(version):
             await self.copy(peer)
         votes = self.votes()
@@ -233,44 +291,50 @@
         try:
             await work
             return True
-        except HoldError as bad:
+        except StorageError as bad:
             logger.error("disk: {}", bad)
             return False
 
     async def copy(self, peer: Peer) -> None:
         if self.clock() < self.copy_at:
             return
-        bill = await peer.wire.call(Fetch(), CALL_S + 1.0)
-        if isinstance(bill, Bill) and bill.body:
+        bill = await peer.wire.call(FetchRequest(), CALL_S + 1.0)
+        if isinstance(bill, FetchResponse) and bill.body:
             try:
-                await self.keep_word(read_chart(zlib.decompress(bill.body)))
-            except (Unfit, HoldError, zlib.error) as bad:
+                await self.keep_word(read_configuration(zlib.decompress(bill.body)))
+            except (InvalidField, StorageError, zlib.error) as bad:
                 self.copy_at = self.clock() + 1.0  # the disk refuses: not at every telling
                 logger.error("a configuration from {} is not kept: {}", peer.wire.address[0], bad)
 
-    def votes(self, fresh: bool = False) -> dict[str, Vote]:
+    def votes(self, fresh: bool = False) -> dict[str, ReplicaStatus]:
         """What the other cores said; fresh: of late."""
         now = self.clock()
-        return {name: peer.vote for name, peer in self.peers.items()
-                if peer.vote and (not fresh or now - peer.heard_at < TOUCH_S)}
+        return {
+            name: peer.vote
+            for name, peer in self.peers.items()
+            if peer.vote and (not fresh or now - peer.heard_at < TOUCH_S)
+        }
 
     def in_touch(self) -> bool:
         """More than half of the voters, this one included, are heard."""
         now, crew = self.clock(), self.word.crew.names
-        near = sum(name == self.ip or name in self.peers and now - self.peers[name].heard_at < TOUCH_S
-                   for name in crew)
+        near = sum(name == self.ip or name in self.peers and now - self.peers[name].heard_at < TOUCH_S for name in crew)
         return bool(crew) and near >= majority(len(crew))
 
     def settled(self) -> bool:
-        return self.fresh or self.clock() - self.born > SETTLE_S and (
-            any(peer.settled for peer in self.peers.values()) or self.clock() - self.born > 3 * SETTLE_S)
+        return (
+            self.fresh
+            or self.clock() - self.born > SETTLE_S
+            and (any(peer.settled for peer in self.peers.values()) or self.clock() - self.born > 3 * SETTLE_S)
+        )
 
     async def tell(self, rows: list[Row]) -> int:
         """How many of the voters know of these now, this one included."""
+
         async def one(peer: Peer) -> bool:
             try:
-                return isinstance(await peer.wire.call(Tell(list(rows)), CALL_S), Told)
-            except Unheard:
+                return isinstance(await peer.wire.call(InstanceUpdate(list(rows)), CALL_S), InstanceUpdateResponse)
+            except PeerUnreachable:
                 return False
 
         crew = self.word.crew.names
@@ -289,7 +353,7 @@
             names, self.heard = list(self.heard), {}
             if names:
                 await self.tell_beats(self.register.heard(names, self.clock()))
-            if len(self.told) > 2 * len(self.register.berths) + 100:
+            if len(self.told) > 2 * len(self.register.records) + 100:
                 self.told.clear()
 
     async def tell_beats(self, rows: list[Row]) -> None:
@@ -301,10 +365,10 @@
             await self.tell(fresh)
         if again := [(row.instance, row.call_seq) for row in rows if row not in fresh]:
             for peer in self.peers.values():
-                self.spawn(self.send(peer, Again(again)))
+                self.spawn(self.send(peer, InstanceRefresh(again)))
 
     async def send(self, peer: Peer, message: Message) -> None:
-        with contextlib.suppress(Unheard):
+        with contextlib.suppress(PeerUnreachable):
             await peer.wire.call(message, CALL_S)
 
     async def sweep_often(self) -> None:
@@ -345,11 +409,12 @@
 
         async def one(name: str, peer: Peer) -> None:
             try:
-                answer = await peer.wire.call(Claim(
-                    QUOTAS, self.ip, self.life, int(TTL_S * 1000), number), CALL_S)
-            except Unheard:
+                answer = await peer.wire.call(
+                    LeaseRequest(QUOTAS, self.ip, self.life, int(TTL_S * 1000), number), CALL_S
+                )
+            except PeerUnreachable:
                 return
-            if isinstance(answer, Granted) and answer.crew_number == self.word.crew.number:
+            if isinstance(answer, LeaseResponse) and answer.crew_number == self.word.crew.number:
                 self.tenure.answer(name, answer.ok and answer.standing, crew, began, self.clock())
 
         asked = [self.spawn(one(name, self.peers[name])) for name in crew if name in self.peers]
@@ -361,7 +426,9 @@
             self.grantor.ask(QUOTAS, self.ip, self.life, 0.0, self.clock(), self.tenure.number)
             for name in crew:
                 if name in self.peers:
-                    self.spawn(self.send(self.peers[name], Claim(QUOTAS, self.ip, self.life, 0, self.tenure.number)))
+                    self.spawn(
+                        self.send(self.peers[name], LeaseRequest(QUOTAS, self.ip, self.life, 0, self.tenure.number))
+                    )
             await asyncio.sleep(0.3 * self.chance.random())
 
     def keep_quotas(self) -> None:
@@ -373,15 +440,16 @@
             self.keeper = None
         elif self.keeper is None:
             logger.info("duty of the quotas: taken")
-            self.keeper = Keeper(self.bounds, now, self.gateways())
+            self.keeper = QuotaAllocator(self.bounds, now, self.gateways())
             self.changed()
 
     def gateways(self) -> list[str]:
         """Those that were there of late, by this core's word or another's: they may hold parts."""
         now = self.clock()
-        return sorted({name for name, (_, at, _) in self.pilots.items() if now - at < FORGET_S}
-                      | {name for peer in self.peers.values() if now - peer.heard_at < FORGET_S
-                         for name in peer.pilots})
+        return sorted(
+            {name for name, (_, at, _) in self.pilots.items() if now - at < FORGET_S}
+            | {name for peer in self.peers.values() if now - peer.heard_at < FORGET_S for name in peer.pilots}
+        )
 
     # ---- who votes ----
 
@@ -393,39 +461,53 @@
             await asyncio.sleep(CREW_S * (0.8 + 0.4 * self.chance.random()))
             now, crew = self.clock(), self.word.crew
             held = self.tenure.holds(now)
-            if held or self.grant_of(QUOTAS)[1] or any(
-                    peer.keeper for peer in self.peers.values() if now - peer.heard_at < TOUCH_S):
+            if (
+                held
+                or self.grant_of(QUOTAS)[1]
+                or any(peer.keeper for peer in self.peers.values() if now - peer.heard_at < TOUCH_S)
+            ):
                 ruled_at = now
             if not self.word.member() or not held and now - ruled_at < UNRULED_S:
                 continue
-            silent = {name: LOST_S + 1 if self.peers[name].leaving else now - max(self.peers[name].heard_at, self.born)
-                      for name in crew.names if name in self.peers}
+            silent = {
+                name: LOST_S + 1 if self.peers[name].leaving else now - max(self.peers[name].heard_at, self.born)
+                for name in crew.names
+                if name in self.peers
+            }
             if self.leaving:
                 silent[self.ip] = LOST_S + 1
-            steady = {name: now - peer.steady_at for name, peer in self.peers.items()
-                      if now - peer.heard_at < TOUCH_S and peer.vote and not peer.leaving}
+            steady = {
+                name: now - peer.steady_at
+                for name, peer in self.peers.items()
+                if now - peer.heard_at < TOUCH_S and peer.vote and not peer.leaving
+            }
             wish = change(crew, silent, steady, self.crew_size) if held else crew.names
             half_way = self.word.pending is not None or any(
                 vote.crew.number == crew.number and not vote.standing and name in crew.names
-                for name, vote in self.votes(fresh=True).items())
+                for name, vote in self.votes(fresh=True).items()
+            )
             if wish != crew.names or half_way:
                 try:
                     await self.change_crew(crew, wish)
-                except (Unheard, HoldError) as bad:
+                except (PeerUnreachable, StorageError) as bad:
                     logger.warning("the change of crew {} was not ended: {}", crew.number, bad)
 
     async def muster(self, names: tuple[str, ...], asked: Muster) -> list[tuple[Reply, Version, str]]:
         """The answers to one step of a round, this core's own first; not waiting for the rest once enough agree."""
+
         async def one(name: str) -> tuple[Reply, Version, str] | None:
             try:
                 said = await (self.mustered(asked) if name == self.ip else self.peers[name].wire.call(asked, CALL_S))
-            except (Unheard, KeyError):
+            except (PeerUnreachable, KeyError):
                 return None
             if not isinstance(said, Mustered):
                 return None
             pending = (said.pending_ballot, tuple(said.pending)) if said.pending else None
-            return (Reply(said.ok, Crew(said.crew_number, tuple(said.crew)), said.promised, pending),
-                    Version(*said.stamp), name)
+            return (
+                Reply(said.ok, VoterSet(said.crew_number, tuple(said.crew)), said.promised, pending),
+                Version(*said.stamp),
+                name,
+            )
 
         heard = [await one(self.ip)] if self.ip in names else []
         waiting = {self.spawn(one(name)) for name in names if name != self.ip}
@@ -434,7 +516,7 @@
             heard += [task.result() for task in done]
         return [said for said in heard if said]
 
-    async def change_crew(self, crew: Crew, wish: tuple[str, ...]) -> None:
+    async def change_crew(self, crew: VoterSet, wish: tuple[str, ...]) -> None:
         """One change, from its round to the list being sure; whatever breaks it off leaves it to the next."""
         self.round = max(self.round, self.word.promised[0]) + 1
         ballot, number, enough = (self.round, self.ip), crew.number + 1, majority(len(crew.names))
@@ -452,8 +534,8 @@
         if self.word.rises(version) and holder in self.peers:
             await self.copy(self.peers[holder])
         if self.word.version < version or await self.copy_to(names) < majority(len(names)):
-            raise Unheard("what was acknowledged is not on a majority of the new crew yet")
-        self.word.sure(Crew(number, names))
+            raise PeerUnreachable("what was acknowledged is not on a majority of the new crew yet")
+        self.word.sure(VoterSet(number, names))
         await self.keep_crew()
         logger.info("crew {}: {}", number, names)
         await self.muster(tuple(sorted({*crew.names, *names} - {self.ip})), Muster("sure", number, ballot, list(names)))
@@ -467,10 +549,11 @@
                 return True
             try:
                 kept = await self.peers[name].wire.call(
-                    Keep(self.word.crew.number, stamp(version), body), ANSWER_S + LARGE_S * len(body))
-            except (Unheard, KeyError):
+                    StoreRequest(self.word.crew.number, stamp(version), body), ANSWER_S + LARGE_S * len(body)
+                )
+            except (PeerUnreachable, KeyError):
                 return False
-            return isinstance(kept, Kept) and Version(*kept.stamp) >= version
+            return isinstance(kept, StoreResponse) and Version(*kept.stamp) >= version
 
         count, waiting = 0, {self.spawn(one(name)) for name in names}
         while waiting and count < majority(len(names)):
@@ -488,11 +571,12 @@
             case "accept":
                 ok = fit and word.accept(asked.number, asked.ballot, tuple(asked.crew))
             case "sure":
-                ok = word.sure(Crew(asked.number, tuple(asked.crew)))
+                ok = word.sure(VoterSet(asked.number, tuple(asked.crew)))
         ok = ok and await self.try_disk(self.keep_crew())
         ballot, names = word.pending or (NO_BALLOT, ())
-        return Mustered(ok, word.crew.number, list(word.crew.names), word.promised, ballot, list(names),
-                        stamp(word.version))
+        return Mustered(
+            ok, word.crew.number, list(word.crew.names), word.promised, ballot, list(names), stamp(word.version)
+        )
 
     def grant_of(self, duty: str) -> tuple[bool, str, float]:
         grant, now = self.grantor.grants.get(duty), self.clock()
@@ -502,35 +586,35 @@
 
     async def meet(self, message: Message) -> Message | None:
         match message:
-            case Pull():
+            case PullRequest():
                 return await self.pulled(message)
-            case Fetch():
-                return Bill(stamp(self.word.version), zlib.compress(self.word.body, 6))
-            case Keep():
+            case FetchRequest():
+                return FetchResponse(stamp(self.word.version), zlib.compress(self.word.body, 6))
+            case StoreRequest():
                 return await self.keep(message)
-            case Tell(rows):
+            case InstanceUpdate(rows):
                 now = self.clock()
                 if any([self.register.hear(Row(*row), now) for row in rows]):
                     self.changed()
-                return Told()
-            case Again(beats):
+                return InstanceUpdateResponse()
+            case InstanceRefresh(beats):
                 now = self.clock()
                 if any([self.register.again(name, seq, now) for name, seq in beats]):
                     self.changed()
-                return Told()
-            case Claim(duty, holder, life, ttl_ms, number):
+                return InstanceUpdateResponse()
+            case LeaseRequest(duty, holder, life, ttl_ms, number):
                 ok, has, left = False, "", 0.0
                 if self.word.votes():
                     ok, has, left = self.grantor.ask(duty, holder, life, ttl_ms / 1000, self.clock(), number)
-                return Granted(ok, has, int(left * 1000), self.word.crew.number, self.word.votes())
-            case Draw():
+                return LeaseResponse(ok, has, int(left * 1000), self.word.crew.number, self.word.votes())
+            case QuotaRequest():
                 return self.draw(message)
             case Muster():
                 return await self.mustered(message)
         return None
 
-    async def pulled(self, asked: Pull) -> News:
-        if asked.kind == "harbourmaster":
+    async def pulled(self, asked: PullRequest) -> PullResponse:
+        if asked.kind == "controller":
             self.meet_core(asked.ip)
         else:
             now = self.clock()
@@ -540,8 +624,13 @@
                 self.changed()
         alarm, version = self.alarm, Version(*asked.stamp)
         known = asked.life == self.life
-        if known and asked.seq >= self.register.seq and self.word.version <= version and asked.wait_ms > 0 and (
-                asked.roll == self.roll or asked.kind == "harbourmaster"):
+        if (
+            known
+            and asked.seq >= self.register.seq
+            and self.word.version <= version
+            and asked.wait_ms > 0
+            and (asked.roll == self.roll or asked.kind == "controller")
+        ):
             try:
                 async with asyncio.timeout(min(asked.wait_ms, 2000) / 1000):
                     await alarm.wait()
@@ -550,69 +639,83 @@
         now, crew = self.clock(), self.word.crew
         rows = self.register.since(asked.seq if known else 0, now)
         _, keeper, _ = self.grant_of(QUOTAS)
-        return News(self.life, self.register.seq, not known, list(rows), stamp(self.word.version),
-                    self.word.votes(), self.settled(), crew.number, list(crew.names), keeper, self.leaving, self.zone,
-                    self.roll,
-                    *([], []) if known and asked.roll == self.roll else ([self.ip, *self.peers], list(self.watch.seen)))
-
-    async def keep(self, asked: Keep) -> Kept:
+        return PullResponse(
+            self.life,
+            self.register.seq,
+            not known,
+            list(rows),
+            stamp(self.word.version),
+            self.word.votes(),
+            self.settled(),
+            crew.number,
+            list(crew.names),
+            keeper,
+            self.leaving,
+            self.zone,
+            self.roll,
+            *([], []) if known and asked.roll == self.roll else ([self.ip, *self.peers], list(self.watch.seen)),
+        )
+
+    async def keep(self, asked: StoreRequest) -> StoreResponse:
         version = Version(*asked.stamp)
         if self.word.rises(version) and asked.body:
             try:
-                chart = read_chart(asked.body)
+                chart = read_configuration(asked.body)
                 if chart.version == version:
                     await self.keep_word(chart)
-            except (Unfit, HoldError) as bad:
+            except (InvalidField, StorageError) as bad:
                 logger.error("not kept: {}", bad)
-        return Kept(stamp(self.word.version), self.word.crew.number, self.word.votes())
+        return StoreResponse(stamp(self.word.version), self.word.crew.number, self.word.votes())
 
-    def draw(self, asked: Draw) -> Drawn:
+    def draw(self, asked: QuotaRequest) -> QuotaResponse:
         now = self.clock()
         if not self.keeper or not self.tenure.holds(now):
-            return Drawn(False, [])
+            return QuotaResponse(False, [])
         self.keeper.plans(self.chart.tenants or [] if self.chart else [])
-        return Drawn(True, self.keeper.draw(asked.name, asked.life, asked.deaf_ms / 1000, asked.full, asked.wants, now))
+        return QuotaResponse(
+            True, self.keeper.draw(asked.name, asked.life, asked.deaf_ms / 1000, asked.full, asked.wants, now)
+        )
 
     # ---- what backends and operators ask at the desk ----
 
     async def call(self, asked: Asked) -> Answer:
         match asked:
-            case Beat():
+            case Heartbeat():
                 return await self.beat(asked)
             case Leave(instance):
                 row = self.register.leave(instance, self.clock())
                 self.changed()
                 return await self.spread(row, instance)
-            case Replace(chart):
+            case ReplaceConfiguration(chart):
                 return await self.replace(chart)
-            case ReadBack():
+            case ReadConfiguration():
                 return await self.read_back()
-            case Look():
-                return Whole(json.dumps(self.look(), indent=1).encode())
+            case ReadStatus():
+                return Document(json.dumps(self.look(), indent=1).encode())
 
-    async def beat(self, beat: Beat) -> Answer:
+    async def beat(self, beat: Heartbeat) -> Answer:
         row = row_of(beat)
         if self.register.hear(row, self.clock()):
             self.changed()
         self.heard[beat.instance] = None
         if beat.draining:
-            return await self.spread(self.register.berths[beat.instance].row, beat.instance)
-        return Noted() if self.in_touch() else Unable("cut off from most cores")
+            return await self.spread(self.register.records[beat.instance].row, beat.instance)
+        return Acknowledged() if self.in_touch() else Unavailable("cut off from most cores")
 
     async def spread(self, row: Row, instance: str) -> Answer:
         """What must not be lost with this core is acknowledged once a majority knows it."""
         if not self.in_touch():
-            return Unable("cut off from most cores")
+            return Unavailable("cut off from most cores")
         if await self.tell([row]) < majority(len(self.word.crew.names)):
-            return Unable("too few cores know yet")
-        return Noted()
+            return Unavailable("too few cores know yet")
+        return Acknowledged()
 
-    async def replace(self, chart: Chart) -> Answer:
+    async def replace(self, chart: Configuration) -> Answer:
         """Acknowledged once it, or what is above it, is on a majority of the voters' disks."""
         if not self.word.crew.number:
-            return Unable("who votes is not known yet")
+            return Unavailable("who votes is not known yet")
         if not self.in_touch():
-            return Unable("cut off from most cores")
+            return Unavailable("cut off from most cores")
         if not self.word.rises(chart.version) and self.chart:
             chart = self.chart
         version, done = chart.version, asyncio.Event()
@@ -623,12 +726,14 @@
 
         async def one(peer: Peer) -> None:
             try:
-                kept = await peer.wire.call(Keep(self.word.crew.number, stamp(version), chart.body), limit)
-            except Unheard:
+                kept = await peer.wire.call(StoreRequest(self.word.crew.number, stamp(version), chart.body), limit)
+            except PeerUnreachable:
                 return
-            if isinstance(kept, Kept) and kept.crew_number == self.word.crew.number:  # of another list: by its news
+            if (
+                isinstance(kept, StoreResponse) and kept.crew_number == self.word.crew.number
+            ):  # of another list: by its news
                 before = peer.vote.version if peer.vote else Version()
-                peer.vote = Vote(max(before, Version(*kept.stamp)), self.word.crew, kept.standing)
+                peer.vote = ReplicaStatus(max(before, Version(*kept.stamp)), self.word.crew, kept.standing)
                 peer.heard_at = self.clock()
                 done.set()
 
@@ -644,52 +749,69 @@
                     done.clear()
         except TimeoutError:
             logger.warning("{} has no majority yet", version)
-            return Unable("no majority holds it yet")
-        return Noted()
+            return Unavailable("no majority holds it yet")
+        return Acknowledged()
 
     async def read_back(self) -> Answer:
         async def one(peer: Peer) -> bool:
             try:
                 await self.pull(peer, 0)
                 return True
-            except Unheard:
+            except PeerUnreachable:
                 return False
 
         asked_at = self.clock()
-        waiting = {self.spawn(one(self.peers[name])) for name in self.word.crew.names
-                   if name in self.peers}
+        waiting = {self.spawn(one(self.peers[name])) for name in self.word.crew.names if name in self.peers}
         try:
             async with asyncio.timeout(ANSWER_S):
                 while True:
-                    fresh = {name: peer.vote for name, peer in self.peers.items()
-                             if peer.vote and peer.heard_at >= asked_at}
+                    fresh = {
+                        name: peer.vote for name, peer in self.peers.items() if peer.vote and peer.heard_at >= asked_at
+                    }
                     newest = self.word.newest(fresh)
                     if newest is not None and self.word.version >= newest:
                         break
                     if not waiting:
-                        return Unable("too few cores answer")
+                        return Unavailable("too few cores answer")
                     _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         except TimeoutError:
-            return Unable("too few cores answer")
+            return Unavailable("too few cores answer")
         if not self.word.body:
-            return Refused(404, "generation", "no configuration has been put yet")
-        return Whole(self.word.body)
+            return Rejected(404, "generation", "no configuration has been put yet")
+        return Document(self.word.body)
 
     def look(self) -> dict[str, object]:
         now, crew = self.clock(), self.word.crew
         return {
-            "name": self.name, "address": self.ip, "version": str(self.word.version), "votes": self.word.votes(),
+            "name": self.name,
+            "address": self.ip,
+            "version": str(self.word.version),
+            "votes": self.word.votes(),
             "crew": {"number": crew.number, "voters": list(crew.names)},
-            "in_touch": self.in_touch(), "keeper": self.grant_of(QUOTAS)[1],
-            "cores": {name: {"version": str(peer.vote.version) if peer.vote else None,
-                             "votes": bool(peer.vote and peer.vote.standing),
-                             "silent_s": round(now - peer.heard_at, 2)} for name, peer in self.peers.items()},
-            "pilots": {name: {"version": str(version), "silent_s": round(now - at, 2), "ready": ready}
-                       for name, (version, at, ready) in self.pilots.items()},
-            "backends": {name: {"service": berth.row.service, "address": berth.row.address,
-                                "phase": Phase(berth.row.phase).name.lower(), "zone": berth.row.zone,
-                                "silent_s": round(now - berth.heard_at, 2)}
-                         for name, berth in self.register.berths.items()},
+            "in_touch": self.in_touch(),
+            "keeper": self.grant_of(QUOTAS)[1],
+            "cores": {
+                name: {
+                    "version": str(peer.vote.version) if peer.vote else None,
+                    "votes": bool(peer.vote and peer.vote.standing),
+                    "silent_s": round(now - peer.heard_at, 2),
+                }
+                for name, peer in self.peers.items()
+            },
+            "pilots": {
+                name: {"version": str(version), "silent_s": round(now - at, 2), "ready": ready}
+                for name, (version, at, ready) in self.pilots.items()
+            },
+            "backends": {
+                name: {
+                    "service": record.row.service,
+                    "address": record.row.address,
+                    "phase": Phase(record.row.phase).name.lower(),
+                    "zone": record.row.zone,
+                    "silent_s": round(now - record.heard_at, 2),
+                }
+                for name, record in self.register.records.items()
+            },
         }
 
 
@@ -697,12 +819,12 @@
     return version.number, version.digest
 
 
-def read_crew(record: dict[bytes, bytes] | None) -> Crew | None:
+def read_crew(record: dict[bytes, bytes] | None) -> VoterSet | None:
     if not record:
         return None
     try:
         names = tuple(name for name in record[b"names"].decode().split(",") if name)
-        return Crew(int(record[b"number"]), names) if names else None
+        return VoterSet(int(record[b"number"]), names) if names else None
     except (KeyError, ValueError):
         return None
 
@@ -712,5 +834,4 @@
     if not record or b"promised" not in record:
         return NO_BALLOT, None
     promised, pending = json.loads(record[b"promised"]), json.loads(record[b"pending"])
-    return (promised[0], promised[1]), (
-        ((pending[0][0], pending[0][1]), tuple(pending[1])) if pending else None)
+    return (promised[0], promised[1]), (((pending[0][0], pending[0][1]), tuple(pending[1])) if pending else None)
--- a/stoneyoke/harbour/ring.py
+++ b/stoneyoke/controlplane/heartbeat_ring.py
@@ -17,7 +17,7 @@
     return ring[:count]
 
 
-class Watch:
+class HeartbeatWatch:
     """The gateways whose beats were heard, here or by other watchers. Forgotten after forget_s of silence."""
 
     def __init__(self, forget_s: float) -> None:
--- a/stoneyoke/harbour/desk.py
+++ b/stoneyoke/controlplane/http_api.py
@@ -6,13 +6,13 @@
 
 from loguru import logger
 
-from stoneyoke.lading.calls import Answer, Asked, Refused, Unable, answer, ask
+from stoneyoke.api.calls import Answer, Asked, Rejected, Unavailable, answer, ask
 from stoneyoke.net.http import Line, Malformed, Messages, status_line, write_message
 
 IDLE_S = 30.0
 
 
-class Desk:
+class HttpApi:
     """`meet` carries out what was asked and says what came of it."""
 
     def __init__(self, meet: Callable[[Asked], Awaitable[Answer]], body_top: int) -> None:
@@ -33,21 +33,21 @@
                     message = await messages.next()
                 if message is None:
                     break
-                given: Answer | Refused
+                given: Answer | Rejected
                 try:
                     asked = ask(message.method.decode("ascii"), message.target.decode("ascii"), message.body)
-                    given = asked if isinstance(asked, Refused) else await self.meet(asked)
+                    given = asked if isinstance(asked, Rejected) else await self.meet(asked)
                 except UnicodeDecodeError:
-                    given = Refused(400, "path", "characters that are not ASCII")
+                    given = Rejected(400, "path", "characters that are not ASCII")
                 except Exception:  # a fault costs this one call
                     logger.exception("a call at the desk failed")
-                    given = Unable("failed here")
+                    given = Unavailable("failed here")
                 self.say(writer, *answer(given), keeps=message.keeps)
                 if not message.keeps:
                     break
                 await writer.drain()
         except Malformed as bad:
-            self.say(writer, *answer(Refused(bad.status, "message", str(bad))), keeps=False)
+            self.say(writer, *answer(Rejected(bad.status, "message", str(bad))), keeps=False)
             cast(Line, writer.transport.get_protocol()).deafen()
             await asyncio.sleep(0.2)  # closing at once would reset the answer away
         except (OSError, asyncio.CancelledError):  # a TimeoutError is one
@@ -57,5 +57,8 @@
 
     def say(self, writer: asyncio.StreamWriter, status: int, body: bytes, *, keeps: bool) -> None:
         more = b"" if keeps else b"Connection: close\r\n"
-        write_message(writer, [status_line(status), more,
-                               b"Content-Type: application/json\r\nContent-Length: %d\r\n" % len(body)], body)
+        write_message(
+            writer,
+            [status_line(status), more, b"Content-Type: application/json\r\nContent-Length: %d\r\n" % len(body)],
+            body,
+        )
--- a/stoneyoke/harbour/register.py
+++ b/stoneyoke/controlplane/instance_registry.py
@@ -8,7 +8,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from stoneyoke.lading.calls import Beat
+from stoneyoke.api.calls import Heartbeat
 
 FORGET_S = 60.0  # gone or silent for so long, it is dropped
 
@@ -21,7 +21,7 @@
 
 
 class Row(NamedTuple):
-    """A berth as it is told between processes; warm_s: how much longer it is slow, at the time of telling."""
+    """A record as it is told between processes; warm_s: how much longer it is slow, at the time of telling."""
 
     instance: str
     address: str
@@ -35,7 +35,7 @@
 
 
 @dataclass(slots=True)
-class Berth:
+class InstanceRecord:
     row: Row
     heard_at: float
     told_at: float  # when warm_s was right
@@ -46,77 +46,89 @@
         return self.row._replace(warm_s=max(0.0, self.row.warm_s - (now - self.told_at)))
 
 
-def row_of(beat: Beat) -> Row:
-    return Row(beat.instance, beat.address, beat.service, beat.zone, beat.generation, beat.capacity,
-               Phase.DRAINING if beat.draining else Phase.READY, beat.call_seq, beat.warm_s)
+def row_of(beat: Heartbeat) -> Row:
+    return Row(
+        beat.instance,
+        beat.address,
+        beat.service,
+        beat.zone,
+        beat.generation,
+        beat.capacity,
+        Phase.DRAINING if beat.draining else Phase.READY,
+        beat.call_seq,
+        beat.warm_s,
+    )
 
 
-class Register:
-    """silent_s: without a beat for so long, a berth counts as silent."""
+class InstanceRegistry:
+    """silent_s: without a beat for so long, a record counts as silent."""
 
     def __init__(self, silent_s: float) -> None:
         self.silent_s = silent_s
-        self.berths: dict[str, Berth] = {}  # emptied by sweep()
+        self.records: dict[str, InstanceRecord] = {}  # emptied by sweep()
         self.seq = 0  # rises with each change that others must hear of
 
-    def changed(self, berth: Berth) -> None:
+    def changed(self, record: InstanceRecord) -> None:
         self.seq += 1
-        berth.seq = self.seq
+        record.seq = self.seq
 
     def hear(self, row: Row, now: float) -> bool:
         """A beat, or another core's telling of one. Whether it is news for others."""
-        berth = self.berths.get(row.instance)
-        if berth is None:
-            berth = self.berths[row.instance] = Berth(row, now, now)
+        record = self.records.get(row.instance)
+        if record is None:
+            record = self.records[row.instance] = InstanceRecord(row, now, now)
             self.evict(row, now)
-            self.changed(berth)
+            self.changed(record)
             return True
-        old = berth.row
+        old = record.row
         if old.phase == Phase.GONE or row.phase != Phase.GONE and row.call_seq <= old.call_seq:
             return False
-        berth.row, berth.heard_at, berth.told_at = row, now, now
+        record.row, record.heard_at, record.told_at = row, now, now
         # A beat that tells nothing new is no news: hundreds come in a second.
         if old._replace(call_seq=0, warm_s=0.0) == row._replace(call_seq=0, warm_s=0.0):
             return False
-        self.changed(berth)
+        self.changed(record)
         return True
 
     def again(self, instance: str, call_seq: int, now: float) -> bool:
         """A beat that tells nothing new, by another core's word. Whether it is news for others: it was silent."""
-        berth = self.berths.get(instance)
-        if berth is None or berth.row.phase == Phase.GONE or call_seq <= berth.row.call_seq:
+        record = self.records.get(instance)
+        if record is None or record.row.phase == Phase.GONE or call_seq <= record.row.call_seq:
             return False
-        phase = Phase.READY if berth.row.phase == Phase.SILENT else berth.row.phase
-        return self.hear(berth.told(now)._replace(call_seq=call_seq, phase=int(phase)), now)
+        phase = Phase.READY if record.row.phase == Phase.SILENT else record.row.phase
+        return self.hear(record.told(now)._replace(call_seq=call_seq, phase=int(phase)), now)
 
     def leave(self, instance: str, now: float) -> Row:
         """It has ended; what is told of it later is old."""
-        berth = self.berths.get(instance)
-        row = berth.row if berth else Row(instance, "0.0.0.0:1", "", "", "", 0, 0, 0, 0.0)
+        record = self.records.get(instance)
+        row = record.row if record else Row(instance, "0.0.0.0:1", "", "", "", 0, 0, 0, 0.0)
         row = row._replace(phase=int(Phase.GONE))
         self.hear(row, now)
         return row
 
     def evict(self, row: Row, now: float) -> None:
         """An address has a new tenant: whoever was there before is silent; one that drained has drained for good."""
-        for other in self.berths.values():
-            if other.row.address == row.address and other.row.instance != row.instance and (
-                    other.row.phase < Phase.DRAINING):
+        for other in self.records.values():
+            if (
+                other.row.address == row.address
+                and other.row.instance != row.instance
+                and (other.row.phase < Phase.DRAINING)
+            ):
                 other.row = other.row._replace(phase=int(Phase.SILENT))
                 self.changed(other)
 
     def sweep(self, now: float) -> None:
-        for name, berth in list(self.berths.items()):
-            quiet = now - berth.heard_at
+        for name, record in list(self.records.items()):
+            quiet = now - record.heard_at
             if quiet > FORGET_S:
-                del self.berths[name]
-            elif quiet > self.silent_s and berth.row.phase == Phase.READY:
-                berth.row = berth.row._replace(phase=int(Phase.SILENT))
-                self.changed(berth)
+                del self.records[name]
+            elif quiet > self.silent_s and record.row.phase == Phase.READY:
+                record.row = record.row._replace(phase=int(Phase.SILENT))
+                self.changed(record)
 
     def since(self, seq: int, now: float) -> list[Row]:
         """What has changed after seq."""
-        return [berth.told(now) for berth in self.berths.values() if berth.seq > seq]
+        return [record.told(now) for record in self.records.values() if record.seq > seq]
 
     def heard(self, names: Iterable[str], now: float) -> list[Row]:
-        return [self.berths[name].told(now) for name in names if name in self.berths]
+        return [self.records[name].told(now) for name in names if name in self.records]
--- a/stoneyoke/harbour/duties.py
+++ b/stoneyoke/controlplane/leases.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass, field
 
-from stoneyoke.harbour.quorum import majority
+from stoneyoke.controlplane.quorum import majority
 
 TTL_S = 1.0
 STOP = 0.85  # of the lease, after which its holder stops: clocks run apart by less
@@ -20,7 +20,7 @@
     number: int = 0  # of the holder's round of asking
 
 
-class Grantor:
+class LeaseGranter:
     """A voter's part."""
 
     def __init__(self, now: float, fresh: bool) -> None:
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class Tenure:
+class LeaseHolder:
     """A holder's part: rounds of asking, and until when the duty is its own."""
 
     until: float = 0.0
--- a/stoneyoke/harbour/word.py
+++ b/stoneyoke/controlplane/replica.py
@@ -5,8 +5,8 @@
 
 from dataclasses import dataclass
 
-from stoneyoke.harbour.quorum import copies, majority
-from stoneyoke.lading.charts import Version
+from stoneyoke.controlplane.quorum import copies, majority
+from stoneyoke.api.configuration import Version
 
 NOTHING = Version()
 Ballot = tuple[int, str]  # of a round of a change of who votes: a number, who began it
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Crew:
+class VoterSet:
     """Who votes: addresses of cores. number 0: not known. A list is told only once it is sure (harbour.crew)."""
 
     number: int = 0
@@ -22,32 +22,32 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Vote:
+class ReplicaStatus:
     """What a core says of itself."""
 
     version: Version
-    crew: Crew
+    crew: VoterSet
     standing: bool
 
 
-class Word:
+class Replica:
     def __init__(self, own: str) -> None:
         self.own = own
         self.version, self.body = NOTHING, b""
-        self.crew = Crew()
+        self.crew = VoterSet()
         # It counts as a voter: its disk has been whole since it joined, or it has copied enough since.
         self.standing = False
         self.promised: Ballot = NO_BALLOT  # in the change to the list after this one
         self.pending: tuple[Ballot, tuple[str, ...]] | None = None  # accepted in it
 
-    def found(self, crew: Crew | None, standing: bool, version: Version, body: bytes) -> None:
+    def found(self, crew: VoterSet | None, standing: bool, version: Version, body: bytes) -> None:
         """What the disk holds at the start."""
-        self.crew, self.standing = crew or Crew(), standing and crew is not None
+        self.crew, self.standing = crew or VoterSet(), standing and crew is not None
         self.version, self.body = version, body
 
     def first(self, seeds: tuple[str, ...]) -> None:
         """The very first start, on empty disks: all are told the same seeds, and they vote."""
-        self.crew = Crew(1, tuple(sorted(seeds)))
+        self.crew = VoterSet(1, tuple(sorted(seeds)))
         self.standing = self.own in self.crew.names
 
     def rises(self, version: Version) -> bool:
@@ -65,39 +65,46 @@
     def member(self) -> bool:
         return self.standing and self.own in self.crew.names
 
-    def vote(self) -> Vote:
-        return Vote(self.version, self.crew, self.votes())
+    def vote(self) -> ReplicaStatus:
+        return ReplicaStatus(self.version, self.crew, self.votes())
 
-    def holders(self, version: Version, votes: dict[str, Vote]) -> int:
+    def holders(self, version: Version, votes: dict[str, ReplicaStatus]) -> int:
         """How many voters hold this version or a higher one, by what they said themselves, this one included."""
         said = votes | {self.own: self.vote()}
-        return sum(name in said and said[name].standing and said[name].crew.number == self.crew.number
-                   and said[name].version >= version for name in self.crew.names)
-
-    def kept(self, version: Version, votes: dict[str, Vote]) -> bool:
+        return sum(
+            name in said
+            and said[name].standing
+            and said[name].crew.number == self.crew.number
+            and said[name].version >= version
+            for name in self.crew.names
+        )
+
+    def kept(self, version: Version, votes: dict[str, ReplicaStatus]) -> bool:
         """Enough voters hold it that it may be acknowledged."""
         return self.crew.number > 0 and self.holders(version, votes) >= majority(len(self.crew.names))
 
-    def newest(self, votes: dict[str, Vote]) -> Version | None:
+    def newest(self, votes: dict[str, ReplicaStatus]) -> Version | None:
         """The highest version of enough voters that all that was acknowledged is no higher; None: too few."""
         said = votes | {self.own: self.vote()}
-        heard = [said[name].version for name in self.crew.names
-                 if name in said and said[name].standing and said[name].crew.number == self.crew.number]
+        heard = [
+            said[name].version
+            for name in self.crew.names
+            if name in said and said[name].standing and said[name].crew.number == self.crew.number
+        ]
         if self.crew.number == 0 or len(heard) < copies(len(self.crew.names)):
             return None
         return max(heard)
 
-    def may_stand(self, votes: dict[str, Vote]) -> bool:
+    def may_stand(self, votes: dict[str, ReplicaStatus]) -> bool:
         """A voter without a vote may have it back: enough others of the same list have told what they hold, and
         it holds no less. Its own copy does not count: it may have lost one that it had acknowledged."""
         others = {name: vote for name, vote in votes.items() if name != self.own}
         newest = replace_own(self).newest(others)
-        return (self.own in self.crew.names and not self.standing
-                and newest is not None and self.version >= newest)
+        return self.own in self.crew.names and not self.standing and newest is not None and self.version >= newest
 
-    def learn_crew(self, votes: dict[str, Vote]) -> Crew | None:
+    def learn_crew(self, votes: dict[str, ReplicaStatus]) -> VoterSet | None:
         """A newer list of voters that another core tells of."""
-        newest = max((vote.crew for vote in votes.values()), key=lambda crew: crew.number, default=Crew())
+        newest = max((vote.crew for vote in votes.values()), key=lambda crew: crew.number, default=VoterSet())
         return newest if newest.number > self.crew.number and newest.names else None
 
     # ---- a change of who votes, at one voter ----
@@ -114,7 +121,7 @@
         self.pending = (ballot, names)
         return True
 
-    def sure(self, crew: Crew) -> bool:
+    def sure(self, crew: VoterSet) -> bool:
         """A newer list is decided, and what was acknowledged is held by a majority of it."""
         if crew.number <= self.crew.number:
             return False
@@ -124,8 +131,8 @@
         return True
 
 
-def replace_own(word: Word) -> Word:
+def replace_own(word: Replica) -> Replica:
     """The same core as one that votes for nothing."""
-    bare = Word(word.own)
+    bare = Replica(word.own)
     bare.crew = word.crew
     return bare
--- a/stoneyoke/harbour/crew.py
+++ b/stoneyoke/controlplane/voter_set.py
@@ -9,8 +9,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from stoneyoke.harbour.quorum import majority
-from stoneyoke.harbour.word import Ballot, Crew
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.controlplane.replica import Ballot, VoterSet
 
 STEADY_S = 2.0  # a core in touch for so long may vote
 LOST_S = 30.0  # a voter silent for so long is replaced: longer than any start, cut or slow disk that it comes back from
@@ -21,7 +21,7 @@
     return max(3, 2 * losses + 1)
 
 
-def change(crew: Crew, silent_s: Mapping[str, float], steady_s: Mapping[str, float], size: int) -> tuple[str, ...]:
+def change(crew: VoterSet, silent_s: Mapping[str, float], steady_s: Mapping[str, float], size: int) -> tuple[str, ...]:
     """The next list, the same one if nothing is to change. silent_s: for how long each voter was not heard, 0 for this
     core; steady_s: for how long each core that does not vote has been in touch without a break."""
     names = set(crew.names)
@@ -41,7 +41,7 @@
     """A voter's answer to a round."""
 
     ok: bool
-    crew: Crew
+    crew: VoterSet
     promised: Ballot
     pending: tuple[Ballot, tuple[str, ...]] | None
 
--- a/stoneyoke/fleet/council.py
+++ b/stoneyoke/fleet/council.py
@@ -7,7 +7,18 @@
 from stoneyoke.fleet.evidence import ASKS, Evidence
 from stoneyoke.fleet.membership import Address, Membership, Note, size
 from stoneyoke.fleet.messages import (
-    ACK, ANSWER, HEAD, LARGEST, PAGE, PULL, QUERY, Entry, Member, Message, Refused, Seal,
+    ACK,
+    ANSWER,
+    HEAD,
+    LARGEST,
+    PAGE,
+    PULL,
+    QUERY,
+    Entry,
+    Member,
+    Message,
+    Refused,
+    Seal,
 )
 from stoneyoke.interface import Hearsay, Known
 
@@ -21,8 +32,16 @@
 class Council:
     """key material: see Seal. now: Unix time in microseconds, in monotonic steps."""
 
-    def __init__(self, own: Member, seeds: list[Address], keys: list[bytes], silent_us: int, seed: int,
-                 now: int, count: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        own: Member,
+        seeds: list[Address],
+        keys: list[bytes],
+        silent_us: int,
+        seed: int,
+        now: int,
+        count: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self.chance = random.Random(seed)
         self.count = count
         self.seal = Seal(keys)
@@ -48,8 +67,11 @@
                 return self.tell_of_later(refused.message, now)
             return []
         self.count("fleet: datagrams")
-        probed = message.kind == ACK and message.number == self.members.probe.number and (
-            message.sender.name == self.members.probe.name)
+        probed = (
+            message.kind == ACK
+            and message.number == self.members.probe.number
+            and (message.sender.name == self.members.probe.name)
+        )
         self.members.received(message, now)
         sender = message.sender.name
         if sender == self.members.own.name:
@@ -82,7 +104,7 @@
         if now - self.swept >= 10 * SECOND:
             self.swept = now
             self.seal.sweep(now)
-            self.asked = dict(list(self.asked.items())[-10 * ASKS:])
+            self.asked = dict(list(self.asked.items())[-10 * ASKS :])
             self.answered = {name: at for name, at in self.answered.items() if now - at < SECOND}
         return self.send(now)
 
@@ -126,10 +148,21 @@
             members += [m for m in self.members.gossip(note.to) if m not in members]
         room = LARGEST - HEAD - 120 - size(self.members.own) - sum(map(size, members))
         about = asked if note.kind in (ACK, ANSWER) else ()
-        entries = [] if plain else self.evidence.own(now, about)[:max(0, room // ENTRY_BYTES)]
-        return self.seal.close(Message(
-            self.members.own, self.sequence, now, note.kind, note.number, note.about, self.members.digest,
-            members, entries, list(note.sums)))
+        entries = [] if plain else self.evidence.own(now, about)[: max(0, room // ENTRY_BYTES)]
+        return self.seal.close(
+            Message(
+                self.members.own,
+                self.sequence,
+                now,
+                note.kind,
+                note.number,
+                note.about,
+                self.members.digest,
+                members,
+                entries,
+                list(note.sums),
+            )
+        )
 
     def changes(self) -> list[Member]:
         """Members whose state has changed since this was asked last."""
@@ -138,4 +171,3 @@
 
     def listed(self, backends: Iterable[Known]) -> None:
         self.evidence.listed(backends)
-
--- a/stoneyoke/fleet/evidence.py
+++ b/stoneyoke/fleet/evidence.py
@@ -140,8 +140,14 @@
         def age(at: int) -> int:
             return NEVER if at < 0 else min(NEVER - 1, max(0, now - at) // TENTH)
 
-        return Entry(id, min(1000, round(seen.calls)), min(1000, round(seen.bad)), age(seen.ok_at),
-                     age(seen.bad_at), min(1000, round(10 * seen.pace)))
+        return Entry(
+            id,
+            min(1000, round(seen.calls)),
+            min(1000, round(seen.bad)),
+            age(seen.ok_at),
+            age(seen.bad_at),
+            min(1000, round(10 * seen.pace)),
+        )
 
     def own(self, now: int, asked: Iterable[Entry] = ()) -> list[Entry]:
         """What is told: whom this gateway accuses, then what it knows of those that are disputed, here or by
@@ -149,8 +155,11 @@
         cut off itself, and accuses nobody."""
         about = self.disputed.keys() | self.verdicts.keys() | {entry.backend for entry in asked}
         # Of the many that are well and asked about by nobody nothing is worked out.
-        recent = [(max(seen.ok_at, seen.bad_at), id, seen) for id, seen in self.seen.items()
-                  if seen.bad_at > seen.ok_at or seen.pace > 2.9 or id in about]
+        recent = [
+            (max(seen.ok_at, seen.bad_at), id, seen)
+            for id, seen in self.seen.items()
+            if seen.bad_at > seen.ok_at or seen.pace > 2.9 or id in about
+        ]
         recent.sort(key=lambda row: row[:2], reverse=True)
         entries = [self.entry(id, seen, now) for at, id, seen in recent if now - at < AGE]
         accused = [entry for entry in entries if entry.accuses]
@@ -172,8 +181,9 @@
     def hear(self, witness: str, entries: list[Entry], now: int) -> None:
         """What one that was asked tells replaces its earlier answers. Nothing to say is an answer, too."""
         self.rumour(witness, entries, now)
-        fresh = [entry for entry in entries if entry.backend in self.known
-                 and min(entry.ok_age, entry.bad_age) * TENTH < AGE]
+        fresh = [
+            entry for entry in entries if entry.backend in self.known and min(entry.ok_age, entry.bad_age) * TENTH < AGE
+        ]
         accused = {e.backend: now - min(e.ok_age, e.bad_age) * TENTH for e in fresh if e.accuses}
         if len(accused) > WRONG * max(1, len(self.known)):
             accused = {}
@@ -186,13 +196,16 @@
         """Draws the verdicts anew from all that counts now. others: members beside this one."""
         self.heard = {name: told for name, told in self.heard.items() if now - told[0] < HEARD}
         # One witness alone is no dispute: errors happen, and the whole fleet need not talk of them.
-        own = {id for id, seen in self.seen.items()
-               if 0 <= seen.bad_at > seen.ok_at and now - seen.bad_at < AGE}
+        own = {id for id, seen in self.seen.items() if 0 <= seen.bad_at > seen.ok_at and now - seen.bad_at < AGE}
         self.shocked = any(now - self.seen[id].bad_at < SHOCK for id in own)
-        self.rumours = {id: kept for id, who in self.rumours.items()
-                        if (kept := {name: at for name, at in who.items() if now - at < HEARD})}
-        self.disputed = {id: self.disputed.get(id, now) for id, who in self.rumours.items()
-                         if len(who) >= FEWEST or id in own}
+        self.rumours = {
+            id: kept
+            for id, who in self.rumours.items()
+            if (kept := {name: at for name, at in who.items() if now - at < HEARD})
+        }
+        self.disputed = {
+            id: self.disputed.get(id, now) for id, who in self.rumours.items() if len(who) >= FEWEST or id in own
+        }
         asked, reached = max(len(self.heard), min(others, SAMPLE)), list[tuple[float, int]]()
         for id in self.known:
             stands = id in self.verdicts and now - self.verdicts[id] < LONGEST
--- a/stoneyoke/fleet/membership.py
+++ b/stoneyoke/fleet/membership.py
@@ -17,7 +17,20 @@
 import msgspec
 
 from stoneyoke.fleet.messages import (
-    ACK, ALIVE, ANSWER, ASK, BUCKETS, DEAD, LEFT, NACK, PAGE, PING, PULL, SUSPECT, Member, Message,
+    ACK,
+    ALIVE,
+    ANSWER,
+    ASK,
+    BUCKETS,
+    DEAD,
+    LEFT,
+    NACK,
+    PAGE,
+    PING,
+    PULL,
+    SUSPECT,
+    Member,
+    Message,
 )
 
 SECOND = 1_000_000
@@ -96,8 +109,14 @@
 
 
 class Membership:
-    def __init__(self, own: Member, seeds: list[Address], chance: random.Random, now: int,
-                 count: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        own: Member,
+        seeds: list[Address],
+        chance: random.Random,
+        now: int,
+        count: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self.own, self.chance, self.count = own, chance, count
         self.seeds = [seed for seed in seeds if seed != own.address]
         self.peers: dict[str, Peer] = {}
@@ -277,8 +296,7 @@
             address, number, _ = helped
             self.out.append(Note(address, ACK, number))
         # A helper's answer is as good as one's own.
-        if message.number == self.probe.number and (
-                message.sender.name == self.probe.name or self.probe.helpers):
+        if message.number == self.probe.number and (message.sender.name == self.probe.name or self.probe.helpers):
             self.probe = Probe("", -1, self.probe.at)
             self.doubt = max(0, self.doubt - 1)
 
@@ -296,8 +314,9 @@
         """A piece of those members whose digest differs, from a name on; it names the next piece, if any."""
         sums = message.sums if len(message.sums) == BUCKETS else [-1] * BUCKETS
         rows = [self.own, *(peer.record for peer in self.peers.values())]
-        rows = [row for row in rows if row.name >= message.about
-                and sums[bucket(row.name)] != self.sums[bucket(row.name)]]
+        rows = [
+            row for row in rows if row.name >= message.about and sums[bucket(row.name)] != self.sums[bucket(row.name)]
+        ]
         rows.sort(key=lambda row: row.name)
         told, room = list[Member](), PAGE_BYTES
         while rows and room >= size(rows[0]):
@@ -375,8 +394,12 @@
             self.fresh.clear()
             self.here = 0
             return
-        if told.address == own.address and told.state != ALIVE and told.incarnation >= own.incarnation and (
-                not self.leaving):
+        if (
+            told.address == own.address
+            and told.state != ALIVE
+            and told.incarnation >= own.incarnation
+            and (not self.leaving)
+        ):
             self.own = msgspec.structs.replace(own, incarnation=told.incarnation + 1)
             self.doubt = min(DOUBT_MOST, self.doubt + 1)
             self.fresh[own.name] = 0
--- a/stoneyoke/fleet/transport.py
+++ b/stoneyoke/fleet/transport.py
@@ -18,8 +18,15 @@
 STATES = ("is there", "is suspected", "is dead", "has left")
 FLOOD = 100  # datagrams a tick; what comes beyond is dropped unread
 # What an outcome says of its backend; the others say nothing. Only what is quiet is called off.
-GOOD = {Outcome.OK: True, Outcome.ERROR: False, Outcome.TIMED_OUT: False, Outcome.BROKEN: False,
-        Outcome.CALLED_OFF: False, Outcome.NO_CONNECTION: False, Outcome.CUT: False}
+GOOD = {
+    Outcome.OK: True,
+    Outcome.ERROR: False,
+    Outcome.TIMED_OUT: False,
+    Outcome.BROKEN: False,
+    Outcome.CALLED_OFF: False,
+    Outcome.NO_CONNECTION: False,
+    Outcome.CUT: False,
+}
 
 
 def own_member(terms: FleetTerms, zone: str) -> Member:
@@ -30,8 +37,16 @@
 class Peers(asyncio.DatagramProtocol):
     """Watches the runtime's call-outs, talks to the other gateways, tells the runtime what comes of it."""
 
-    def __init__(self, own: Member, listen: Address, seeds: list[Address], keys: list[bytes],
-                 runtime: Runtime, clock: Clock, tally: Tally) -> None:
+    def __init__(
+        self,
+        own: Member,
+        listen: Address,
+        seeds: list[Address],
+        keys: list[bytes],
+        runtime: Runtime,
+        clock: Clock,
+        tally: Tally,
+    ) -> None:
         self.listen, self.runtime, self.clock, self.tally = listen, runtime, clock, tally
         soft = max(method.soft_us for method in runtime.terms.methods)
         self.council = Council(own, seeds, keys, soft * 3 // 5, runtime.terms.seed, clock.now(), tally.add)
@@ -130,5 +145,8 @@
         later = self.council.members.deposed
         if later and not self.deposed:
             self.deposed = True
-            logger.error("fleet: {} is the name of a gateway at {}:{} that started later: this one goes on "
-                         "alone", later.name, *later.address)
+            logger.error(
+                "fleet: {} is the name of a gateway at {}:{} that started later: this one goes on alone",
+                later.name,
+                *later.address,
+            )
--- a/stoneyoke/pilotage/admission.py
+++ b/stoneyoke/gateway/admission.py
@@ -7,9 +7,9 @@
 
 from stoneyoke.control.quotas import Customer, Quotas
 from stoneyoke.interface import Arrival, Effect, Group, Method, Plan, Terms
-from stoneyoke.limits.shares import FEWEST, FIRST, UNTOLD, UNTOLD_S, Purse, spare
+from stoneyoke.limits.shares import FEWEST, FIRST, UNTOLD, UNTOLD_S, LocalQuota, spare
 from stoneyoke.limits.stores import SECOND
-from stoneyoke.pilotage.routes import Tenant
+from stoneyoke.gateway.routes import Tenant
 
 LONG_AGO = 3600 * SECOND
 
@@ -26,18 +26,18 @@
         self.bounds, self.heard_at = bounds, now - LONG_AGO
         self.among(FEWEST)
         self.indices: dict[str, int] = {}  # tenants that have come; no more than the operator names
-        self.purses: dict[str, Purse] = {}
+        self.local_quotas: dict[str, LocalQuota] = {}
         self.alone_at: dict[int, int] = {}  # since when a tenant is served from its slice
 
     def call(self, tenant: Tenant, wait_us: int) -> Arrival:
         """A request of a tenant, in the terms of the decisions."""
         index = self.indices.setdefault(tenant.label, len(self.indices))
         plan = Plan(tenant.rate, max(1.0, tenant.burst), 1.0, 0, 0.0, 0.0)
-        if tenant.label not in self.purses:
-            self.purses[tenant.label] = Purse()
+        if tenant.label not in self.local_quotas:
+            self.local_quotas[tenant.label] = LocalQuota()
             self.terms = replace(self.terms, plans=(*self.terms.plans, plan))
         elif self.terms.plans[index] != plan:  # a configuration has changed it
-            plans = (*self.terms.plans[:index], plan, *self.terms.plans[index + 1:])
+            plans = (*self.terms.plans[:index], plan, *self.terms.plans[index + 1 :])
             self.terms = replace(self.terms, plans=plans)
             if customer := self.customers.get(index):
                 customer.plan = plan
@@ -51,35 +51,35 @@
         """The keeper has answered."""
         self.heard_at = now
 
-    def knock(self, call: Arrival, purse: Purse, now: int) -> int | None:
+    def knock(self, call: Arrival, local_quota: LocalQuota, now: int) -> int | None:
         """0: it passes. Else the wait that its refusal states; None: the keeper has to be asked."""
         self.now = now
         customer = self.customer(call)
         customer.tries += 1
-        purse.count(call.units, now / SECOND)
-        if purse.take(call.units):
+        local_quota.count(call.units, now / SECOND)
+        if local_quota.take(call.units):
             return 0
-        shut = int(purse.shut_until * SECOND) - now
+        shut = int(local_quota.shut_until * SECOND) - now
         return self.advised(customer, shut) if shut > 0 else None
 
-    def answered(self, call: Arrival, purse: Purse, now: int) -> int:
+    def answered(self, call: Arrival, local_quota: LocalQuota, now: int) -> int:
         """After the keeper has answered, or has not in time."""
         self.now = now
         customer = self.customer(call)
-        if purse.take(call.units):
+        if local_quota.take(call.units):
             return 0
-        shut = int(purse.shut_until * SECOND) - now
-        return self.advised(customer, shut) if shut > 0 else self.alone(customer, call, purse)
+        shut = int(local_quota.shut_until * SECOND) - now
+        return self.advised(customer, shut) if shut > 0 else self.alone(customer, call, local_quota)
 
-    def alone(self, customer: Customer, call: Arrival, purse: Purse) -> int:
+    def alone(self, customer: Customer, call: Arrival, local_quota: LocalQuota) -> int:
         """No keeper was heard: from the part of the store that is this gateway's own."""
         now, heard_at = self.now / SECOND, self.heard_at / SECOND
-        part, reserve = purse.left(heard_at, now)
+        part, reserve = local_quota.left(heard_at, now)
         plan, gateways = customer.plan, self.terms.gateways
         beyond = spare(plan.rate, plan.burst, self.bounds)
         if self.alone_at.get(call.customer, -LONG_AGO) < self.heard_at:
             self.alone_at[call.customer] = self.now
-            # Whole units, by chance: a part of one lets nothing through, and the parts sum to the same.
+            # Document units, by chance: a part of one lets nothing through, and the parts sum to the same.
             first = min(2.0, float(int(FIRST * beyond / gateways + self.chance.draw())))
             customer.store.level, customer.store.at = max(reserve, first), self.now
         # A new life that has heard nobody: all may have started just now. Those that were told of hardly any part
@@ -93,5 +93,5 @@
         if wait > 0:
             return self.advised(customer, wait)
         customer.store.level -= call.units
-        purse.used += call.units
+        local_quota.used += call.units
         return 0
--- a/stoneyoke/pilotage/lookout.py
+++ b/stoneyoke/gateway/config_sync.py
@@ -7,31 +7,42 @@
 
 from loguru import logger
 
-from stoneyoke.harbour.ring import watchers
-from stoneyoke.lading.charts import Chart, Version, read_chart
-from stoneyoke.lading.tables import Unfit
-from stoneyoke.pilotage.roster import Roster
-from stoneyoke.signals.messages import Bill, Fetch, News, Pull
-from stoneyoke.signals.wires import Unheard, Wire
+from stoneyoke.controlplane.heartbeat_ring import watchers
+from stoneyoke.api.configuration import Configuration, Version, read_configuration
+from stoneyoke.api.schema import InvalidField
+from stoneyoke.gateway.instance_directory import InstanceDirectory
+from stoneyoke.transport.messages import FetchResponse, FetchRequest, PullResponse, PullRequest
+from stoneyoke.transport.peers import PeerUnreachable, PeerClient
 
 CALL_S = 0.6
 WAIT_MS = 1000  # how long a core may hold a pull until there is news
 PAUSE_S = 0.15
 
 
-class Lookout:
+class ConfigSync:
     """take: called with each newer configuration; told: when anything was heard."""
 
-    def __init__(self, name: str, ip: str, zone: str, port: int, roster: Roster, take: Callable[[Chart], None],
-                 told: Callable[[], None], *, clock: Callable[[], float],
-                 dial: Callable[[tuple[str, int]], Wire] = Wire, chance: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        zone: str,
+        port: int,
+        roster: InstanceDirectory,
+        take: Callable[[Configuration], None],
+        told: Callable[[], None],
+        *,
+        clock: Callable[[], float],
+        dial: Callable[[tuple[str, int]], PeerClient] = PeerClient,
+        chance: random.Random | None = None,
+    ) -> None:
         self.clock, self.dial = clock, dial
         self.name, self.ip, self.zone, self.port = name, ip, zone, port
         self.roster, self.take, self.told = roster, take, told
         self.life = f"{(chance or random.SystemRandom()).getrandbits(48):012x}"
         self.version = Version()
         self.ready = False
-        self.wires: dict[str, Wire] = {}
+        self.wires: dict[str, PeerClient] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.fetching = asyncio.Lock()
 
@@ -50,7 +61,7 @@
         while True:
             try:
                 await self.pull(name)
-            except Unheard:
+            except PeerUnreachable:
                 await asyncio.sleep(PAUSE_S)
             except Exception:
                 logger.exception("pulling from {} failed", name)
@@ -59,12 +70,25 @@
     async def pull(self, name: str) -> None:
         source = self.roster.sources[name]
         beat = name in watchers(self.name, self.roster.sources)
-        news = await self.wires[name].call(Pull(
-            self.name, self.ip, "pilot", self.zone, source.life, source.seq,
-            (self.version.number, self.version.digest), self.ready, beat, WAIT_MS, self.life, source.roll),
-            CALL_S + WAIT_MS / 1000)
-        if not isinstance(news, News):
-            raise Unheard("an answer of another kind")
+        news = await self.wires[name].call(
+            PullRequest(
+                self.name,
+                self.ip,
+                "gateway",
+                self.zone,
+                source.life,
+                source.seq,
+                (self.version.number, self.version.digest),
+                self.ready,
+                beat,
+                WAIT_MS,
+                self.life,
+                source.roll,
+            ),
+            CALL_S + WAIT_MS / 1000,
+        )
+        if not isinstance(news, PullResponse):
+            raise PeerUnreachable("an answer of another kind")
         self.roster.hear(name, news, self.clock())
         self.follow_all()
         if Version(*news.stamp) > self.version:
@@ -78,14 +102,14 @@
                 return
             near = self.roster.holders(Version(*source.news.stamp), self.zone)[0]
             try:
-                bill = await self.wires[near].call(Fetch(), CALL_S)
-            except Unheard:
-                bill = await self.wires[name].call(Fetch(), CALL_S + 2.0)
-        if not isinstance(bill, Bill):
-            raise Unheard("an answer of another kind")
+                bill = await self.wires[near].call(FetchRequest(), CALL_S)
+            except PeerUnreachable:
+                bill = await self.wires[name].call(FetchRequest(), CALL_S + 2.0)
+        if not isinstance(bill, FetchResponse):
+            raise PeerUnreachable("an answer of another kind")
         try:
-            chart = read_chart(zlib.decompress(bill.body))
-        except (Unfit, zlib.error) as bad:
+            chart = read_configuration(zlib.decompress(bill.body))
+        except (InvalidField, zlib.error) as bad:
             logger.error("a configuration from {} can't be read: {}", name, bad)
             return
         if chart.version > self.version:  # within one life nothing goes back
--- a/stoneyoke/pilotage/bridge.py
+++ b/stoneyoke/gateway/control_client.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from stoneyoke.lading.charts import Chart
+from stoneyoke.api.configuration import Configuration
 from stoneyoke.limits.shares import FEWEST
-from stoneyoke.pilotage.admission import Admission
-from stoneyoke.pilotage.lookout import Lookout
-from stoneyoke.pilotage.roster import Roster
-from stoneyoke.pilotage.teller import Teller
-from stoneyoke.signals.wires import Wire
+from stoneyoke.gateway.admission import Admission
+from stoneyoke.gateway.config_sync import ConfigSync
+from stoneyoke.gateway.instance_directory import InstanceDirectory
+from stoneyoke.gateway.quota_client import QuotaClient
+from stoneyoke.transport.peers import PeerClient
 
 FORGET_S = 10.0
 YOUNG_S = 1.5  # by then the watchers have heard every gateway's beat
@@ -27,22 +27,42 @@
     own: int = 0
 
 
-class Bridge:
+class ControlClient:
     """clock: seconds of the steady clock. take: called with each newer configuration; told: when anything was heard,
     after `fleet` and `ready` were brought up to date."""
 
-    def __init__(self, name: str, ip: str, zone: str, port: int, seeds: tuple[str, ...], bounds: dict[str, float], *,
-                 clock: Callable[[], float], take: Callable[[Chart], None], told: Callable[[], None],
-                 dial: Callable[[tuple[str, int]], Wire] = Wire, chance: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        name: str,
+        ip: str,
+        zone: str,
+        port: int,
+        seeds: tuple[str, ...],
+        bounds: dict[str, float],
+        *,
+        clock: Callable[[], float],
+        take: Callable[[Configuration], None],
+        told: Callable[[], None],
+        dial: Callable[[tuple[str, int]], PeerClient] = PeerClient,
+        chance: random.Random | None = None,
+    ) -> None:
         self.name, self.clock, self.told = name, clock, told
         chance = chance or random.SystemRandom()
         self.seed = chance.getrandbits(63)
-        self.roster = Roster(seeds)
+        self.roster = InstanceDirectory(seeds)
         self.admission = Admission(self.seed, self.micros(), bounds)
-        self.lookout = Lookout(name, ip, zone, port, self.roster, take, self.hear, clock=clock, dial=dial,
-                               chance=chance)
-        self.teller = Teller(name, self.lookout.life, lambda: self.roster.keeper(clock()), self.lookout.wires.get,
-                             self.admission.purses, lambda: self.admission.heard(self.micros()), clock)
+        self.lookout = ConfigSync(
+            name, ip, zone, port, self.roster, take, self.hear, clock=clock, dial=dial, chance=chance
+        )
+        self.teller = QuotaClient(
+            name,
+            self.lookout.life,
+            lambda: self.roster.keeper(clock()),
+            self.lookout.wires.get,
+            self.admission.local_quotas,
+            lambda: self.admission.heard(self.micros()),
+            clock,
+        )
         self.born = clock()
         self.most, self.most_at = 1, self.born  # gateways that were told of, and when
         self.fleet = Fleet()
--- a/stoneyoke/pilotage/roster.py
+++ b/stoneyoke/gateway/instance_directory.py
@@ -6,10 +6,10 @@
 
 from dataclasses import dataclass, field
 
-from stoneyoke.harbour.quorum import copies, majority
-from stoneyoke.harbour.register import Phase, Row
-from stoneyoke.lading.charts import Version
-from stoneyoke.signals.messages import News
+from stoneyoke.controlplane.quorum import copies, majority
+from stoneyoke.controlplane.instance_registry import Phase, Row
+from stoneyoke.api.configuration import Version
+from stoneyoke.transport.messages import PullResponse
 
 TOUCH_S = 2.2  # more than a pull may be held, and what it takes to open a connection again
 DROP_S = 20.0  # silent by all cores in touch for so long, a backend is dropped
@@ -22,14 +22,14 @@
     life: str = ""
     seq: int = 0
     heard_at: float = -1e9
-    news: News | None = None
+    news: PullResponse | None = None
     phases: dict[str, int] = field(default_factory=dict)  # by instance, as this core has it
     roll: int = -1
     pilots: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
-class Mooring:
+class KnownInstance:
     """A backend as it is known here."""
 
     row: Row
@@ -37,17 +37,17 @@
     doubted_at: float | None = None  # since when no core in touch hears it
 
 
-class Roster:
+class InstanceDirectory:
     def __init__(self, seeds: tuple[str, ...]) -> None:
         self.sources: dict[str, Source] = {name: Source() for name in seeds}
-        self.moorings: dict[str, Mooring] = {}
+        self.known: dict[str, KnownInstance] = {}
         self.gone: dict[str, float] = {}  # instances that never come back; when that was told
         self.turn = 0  # rises with each change that the choice of backend should hear of
 
     def meet(self, name: str) -> None:
         self.sources.setdefault(name, Source())
 
-    def hear(self, name: str, news: News, now: float) -> None:
+    def hear(self, name: str, news: PullResponse, now: float) -> None:
         source = self.sources.setdefault(name, Source())
         if news.whole or news.life != source.life:
             source.phases = {}
@@ -67,7 +67,7 @@
         if row.phase == Phase.GONE:
             self.lost(row.instance, now)
             return
-        old = self.moorings.get(row.instance)
+        old = self.known.get(row.instance)
         if old and row.call_seq < old.row.call_seq:
             return
         # Draining is for good: an instance never takes work again.
@@ -76,13 +76,13 @@
         if old and old.row._replace(call_seq=0, warm_s=0.0) == row._replace(call_seq=0, warm_s=0.0):
             old.row = row
             return
-        self.moorings[row.instance] = Mooring(row, now + row.warm_s)
+        self.known[row.instance] = KnownInstance(row, now + row.warm_s)
         self.turn += 1
 
     def lost(self, instance: str, now: float) -> None:
         """It is gone for good: told so, or another one answers at its address."""
         self.gone[instance] = now
-        if self.moorings.pop(instance, None):
+        if self.known.pop(instance, None):
             self.turn += 1
 
     def near(self, now: float) -> list[Source]:
@@ -93,19 +93,19 @@
         near = [one for one in self.near(now) if one.news and one.news.settled]
         voters = len(self.crew())
         if near and len(near) >= min(majority(voters or 1), voters or 1):
-            for name, mooring in list(self.moorings.items()):
+            for name, instance_known in list(self.known.items()):
                 heard = any(one.phases.get(name, Phase.SILENT) in (Phase.READY, Phase.DRAINING) for one in near)
-                if heard == (mooring.doubted_at is None):
+                if heard == (instance_known.doubted_at is None):
                     continue
                 if heard:
-                    mooring.doubted_at = None
+                    instance_known.doubted_at = None
                     self.turn += 1
-                elif mooring.doubted_at is None:
-                    mooring.doubted_at = now
+                elif instance_known.doubted_at is None:
+                    instance_known.doubted_at = now
                     self.turn += 1
-        for name, mooring in list(self.moorings.items()):
-            if mooring.doubted_at is not None and now - mooring.doubted_at > DROP_S:
-                del self.moorings[name]
+        for name, instance_known in list(self.known.items()):
+            if instance_known.doubted_at is not None and now - instance_known.doubted_at > DROP_S:
+                del self.known[name]
                 self.turn += 1
         for name in [one for one, at in self.gone.items() if now - at > 300]:
             del self.gone[name]
@@ -129,10 +129,17 @@
 
     def caught_up(self, now: float) -> Version | None:
         """The version that is sure to be no older than what was acknowledged; None: too few voters are heard. They
-        have all berths too: a drain is acknowledged once a majority of them knows."""
+        have all records too: a drain is acknowledged once a majority of them knows."""
         crew = self.crew()
-        heard = [one.news for name in crew if (one := self.sources.get(name)) and one.news
-                 and now - one.heard_at < TOUCH_S and one.news.standing and one.news.settled]
+        heard = [
+            one.news
+            for name in crew
+            if (one := self.sources.get(name))
+            and one.news
+            and now - one.heard_at < TOUCH_S
+            and one.news.standing
+            and one.news.settled
+        ]
         if not crew or len(heard) < copies(len(crew)):
             return None
         return max(Version(*news.stamp) for news in heard)
@@ -144,8 +151,11 @@
     def keeper(self, now: float) -> str:
         """Who holds the duty of the quotas, by most cores in touch."""
         said = [one.news.keeper for one in self.near(now) if one.news and one.news.keeper]
-        own = [name for name, one in self.sources.items()
-               if now - one.heard_at < TOUCH_S and one.news and one.news.keeper == name]
+        own = [
+            name
+            for name, one in self.sources.items()
+            if now - one.heard_at < TOUCH_S and one.news and one.news.keeper == name
+        ]
         if own:  # its own word is the newest
             return max(own, key=lambda name: self.sources[name].heard_at)
         return max(sorted(set(said)), key=said.count) if said else ""
@@ -154,6 +164,6 @@
 
     def doubted(self, service: str) -> frozenset[str]:
         """Backends that no core hears. No more than half of a service: else it is the cores that don't hear."""
-        all_of = [one for one in self.moorings.values() if one.row.service == service]
+        all_of = [one for one in self.known.values() if one.row.service == service]
         silent = frozenset(one.row.instance for one in all_of if one.doubted_at is not None)
         return silent if 2 * len(silent) <= len(all_of) else frozenset()
--- a/stoneyoke/pilotage/teller.py
+++ b/stoneyoke/gateway/quota_client.py
@@ -3,20 +3,28 @@
 import asyncio
 from collections.abc import Callable
 
-from stoneyoke.limits.shares import SILENT_S, Purse, wants_of
-from stoneyoke.signals.messages import Draw, Drawn
-from stoneyoke.signals.wires import Unheard, Wire
+from stoneyoke.limits.shares import SILENT_S, LocalQuota, wants_of
+from stoneyoke.transport.messages import QuotaRequest, QuotaResponse
+from stoneyoke.transport.peers import PeerUnreachable, PeerClient
 
 WAIT_S = 0.1  # a request waits for the keeper no longer
 ROUND_S = 0.25  # a message at least so often: it tells demand, and that this gateway is there
 
 
-class Teller:
-    """purses: by tenant. keeper: the address of the core that holds the duty, "" if not known."""
+class QuotaClient:
+    """local_quotas: by tenant. keeper: the address of the core that holds the duty, "" if not known."""
 
-    def __init__(self, name: str, life: str, keeper: Callable[[], str], wire: Callable[[str], Wire | None],
-                 purses: dict[str, Purse], heard: Callable[[], None], clock: Callable[[], float]) -> None:
-        self.name, self.life, self.keeper, self.wire, self.purses = name, life, keeper, wire, purses
+    def __init__(
+        self,
+        name: str,
+        life: str,
+        keeper: Callable[[], str],
+        wire: Callable[[str], PeerClient | None],
+        local_quotas: dict[str, LocalQuota],
+        heard: Callable[[], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.name, self.life, self.keeper, self.wire, self.local_quotas = name, life, keeper, wire, local_quotas
         self.heard, self.clock = heard, clock
         self.heard_at = -1e9
         self.down = False  # the last message had no answer: nobody waits for the next one's
@@ -36,7 +44,11 @@
                 # An answer to what was asked before this request came may hold nothing for it.
                 for _ in range(2):
                     await self.answered.wait()
-                    if self.down or self.purses[tenant].level >= 1 or self.purses[tenant].shut_until > self.clock():
+                    if (
+                        self.down
+                        or self.local_quotas[tenant].level >= 1
+                        or self.local_quotas[tenant].shut_until > self.clock()
+                    ):
                         break
         except TimeoutError:
             pass
@@ -61,7 +73,7 @@
                 continue
             try:
                 await self.draw(wire)
-            except Unheard:
+            except PeerUnreachable:
                 self.fall()
                 await asyncio.sleep(0.05)
 
@@ -71,13 +83,13 @@
         answered, self.answered = self.answered, asyncio.Event()
         answered.set()
 
-    async def draw(self, wire: Wire) -> None:
+    async def draw(self, wire: PeerClient) -> None:
         now = self.clock()
         deaf_s, full = min(60.0, now - self.heard_at), self.full
         # One that may not know that this gateway hears it gives nothing and takes nothing for told.
-        wants = wants_of(self.purses, self.waiting, self.heard_at, full, now) if deaf_s <= SILENT_S else []
-        drawn = await wire.call(Draw(self.name, self.life, int(deaf_s * 1000), full, wants), SILENT_S / 2)
-        if not isinstance(drawn, Drawn) or not drawn.ok:
+        wants = wants_of(self.local_quotas, self.waiting, self.heard_at, full, now) if deaf_s <= SILENT_S else []
+        drawn = await wire.call(QuotaRequest(self.name, self.life, int(deaf_s * 1000), full, wants), SILENT_S / 2)
+        if not isinstance(drawn, QuotaResponse) or not drawn.ok:
             self.fall()
             await asyncio.sleep(0.02)
             return
@@ -89,9 +101,9 @@
         else:
             self.full = False
             for tenant, _, _, used, _ in wants:
-                self.purses[tenant].used_told = used
+                self.local_quotas[tenant].used_told = used
         for tenant, units, wait, part, reserve in drawn.gives:
-            if told := self.purses.get(tenant):
+            if told := self.local_quotas.get(tenant):
                 told.hear(units, wait, part, reserve, self.heard_at)
         answered, self.answered = self.answered, asyncio.Event()
         answered.set()
--- a/stoneyoke/pilotage/fairway.py
+++ b/stoneyoke/gateway/request_handler.py
@@ -1,4 +1,6 @@
-"""A request's way through a gateway: route, key, admission, a backend, its answer. `Fairway.life` tells it whole."""
+"""A request's way through a gateway: route, key, admission, a backend, its answer.
+
+`RequestHandler.life` tells it whole."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,12 +10,12 @@
 from stoneyoke.net.clients import CROSSING_S, Client, Clients
 from stoneyoke.net.http import Message
 from stoneyoke.net.room import Room
-from stoneyoke.pilotage.admission import Admission
-from stoneyoke.pilotage.asked import Request, head_back, head_on
-from stoneyoke.pilotage.piers import RANKS, Pier, Piers
-from stoneyoke.pilotage.roster import Roster
-from stoneyoke.pilotage.routes import Route, Table, Tenant
-from stoneyoke.pilotage.teller import Teller
+from stoneyoke.gateway.admission import Admission
+from stoneyoke.gateway.request_head import Request, head_back, head_on
+from stoneyoke.gateway.upstreams import RANKS, Upstream, Upstreams
+from stoneyoke.gateway.instance_directory import InstanceDirectory
+from stoneyoke.gateway.routes import Route, Table, Tenant
+from stoneyoke.gateway.quota_client import QuotaClient
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
 
@@ -38,13 +40,13 @@
         pass
 
 
-class Fairway(Clients):
+class RequestHandler(Clients):
     """table: the configuration in force, swapped whole; None before the first."""
 
     admission: Admission
-    teller: Teller
-    piers: Piers
-    roster: Roster
+    teller: QuotaClient
+    piers: Upstreams
+    roster: InstanceDirectory
     draw: Callable[[], float]
     table: Table | None = None
     leaving = False  # after SIGTERM: answers say that their connection closes
@@ -112,15 +114,16 @@
     async def admit(self, tenant: Tenant, wait_us: int) -> int:
         """0: it passes; else the wait to state."""
         call = self.admission.call(tenant, wait_us)
-        purse = self.admission.purses[tenant.label]
-        verdict = self.admission.knock(call, purse, self.clock.now())
+        local_quota = self.admission.local_quotas[tenant.label]
+        verdict = self.admission.knock(call, local_quota, self.clock.now())
         if verdict is None:
             await self.teller.ask(tenant.label)
-            verdict = self.admission.answered(call, purse, self.clock.now())
+            verdict = self.admission.answered(call, local_quota, self.clock.now())
         return verdict
 
-    async def forward(self, client: Client, message: Message, request: Request, route: Route, tenant: Tenant,
-                      until: int) -> Reply:
+    async def forward(
+        self, client: Client, message: Message, request: Request, route: Route, tenant: Tenant, until: int
+    ) -> Reply:
         pier = self.piers.pier(route.service(self.draw()))
         method = self.piers.method(pier, route)
         held = client.held = pier.runtime.take_in(method, min(tenant.rank, RANKS - 1), 0, until, 1.0, 1.0, None)
@@ -139,10 +142,10 @@
                     case CallOut(_, backend, _):
                         n, now = held.calls, self.clock.now()
                         held.calls += 1
-                        outcome, answer = await self.call_out(pier, held, n, backend, message, request, tenant,
-                                                              until, now)
-                        if outcome not in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.CUT,
-                                           Outcome.NOT_SENT):
+                        outcome, answer = await self.call_out(
+                            pier, held, n, backend, message, request, tenant, until, now
+                        )
+                        if outcome not in (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.CUT, Outcome.NOT_SENT):
                             unrun = False
                         last = answer if outcome is Outcome.ERROR else None
                         pier.runtime.call_out_ended(held, n, backend, outcome)
@@ -161,15 +164,31 @@
             client.held = None
             pier.runtime.let_go(held)
 
-    async def call_out(self, pier: Pier, held: Held, n: int, backend: int, message: Message, request: Request,
-                       tenant: Tenant, until: int, now: int) -> tuple[Outcome, Message | None]:
-        mooring = self.piers.at.get(backend)
-        if mooring is None:
+    async def call_out(
+        self,
+        pier: Upstream,
+        held: Held,
+        n: int,
+        backend: int,
+        message: Message,
+        request: Request,
+        tenant: Tenant,
+        until: int,
+        now: int,
+    ) -> tuple[Outcome, Message | None]:
+        instance_known = self.piers.at.get(backend)
+        if instance_known is None:
             return Outcome.NOT_SENT, None
-        instance = mooring.row.instance
+        instance = instance_known.row.instance
         outcome, answer = await self.backends.call_out(
-            held, n, backend, head_on(message, instance, tenant.label, until - now), message.body, until,
-            lambda answer: answer.headers.get(b"attempt-id") == request.id)
+            held,
+            n,
+            backend,
+            head_on(message, instance, tenant.label, until - now),
+            message.body,
+            until,
+            lambda answer: answer.headers.get(b"attempt-id") == request.id,
+        )
         self.tally.add(f"call-outs: {outcome.value}")
         if outcome is Outcome.TURNED_AWAY and answer and answer.status == 421:
             other = answer.headers.get(b"instance-id", b"").decode("latin-1")
@@ -185,4 +204,3 @@
         if wait_us:
             more += b"Retry-After: %.3f\r\n" % (wait_us / 1_000_000)
         return status, why.encode() + b"\n", more
-
--- a/stoneyoke/pilotage/asked.py
+++ b/stoneyoke/gateway/request_head.py
@@ -4,8 +4,20 @@
 
 from stoneyoke.net.http import Malformed, Message
 
-HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding",
-                 b"upgrade", b"content-length", b"proxy-authorization", b"proxy-authenticate"))
+HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"proxy-authorization",
+        b"proxy-authenticate",
+    )
+)
 # Never passed on as the client sent them: the key, and what only this system says.
 OWN = frozenset((b"api-key", b"tenant", b"expect-instance", b"deadline-ms"))
 ONCE = frozenset((b"host", b"attempt-id", b"deadline-ms", b"api-key"))
@@ -56,8 +68,11 @@
     lines.append(b"Deadline-Ms: %d\r\nExpect-Instance: %s\r\n" % (max(1, wait_us // 1000), instance.encode()))
     if tenant:
         lines.append(b"Tenant: %s\r\n" % tenant.encode())
-    if message.body or message.method not in (b"GET", b"DELETE", b"OPTIONS") or (
-            b"content-length" in message.headers or b"transfer-encoding" in message.headers):
+    if (
+        message.body
+        or message.method not in (b"GET", b"DELETE", b"OPTIONS")
+        or (b"content-length" in message.headers or b"transfer-encoding" in message.headers)
+    ):
         lines.append(b"Content-Length: %d\r\n" % len(message.body))
     return lines
 
@@ -65,5 +80,8 @@
 def head_back(answer: Message) -> bytes:
     """The headers of a backend's answer for the client; its length is set by whoever writes it."""
     named = {name.strip().lower() for name in answer.headers.get(b"connection", b"").split(b",")}
-    return b"".join(b"%s: %s\r\n" % (name, value) for name, value in answer.fields
-                    if (lower := name.lower()) not in HOP and lower not in named)
+    return b"".join(
+        b"%s: %s\r\n" % (name, value)
+        for name, value in answer.fields
+        if (lower := name.lower()) not in HOP and lower not in named
+    )
--- a/stoneyoke/pilotage/routes.py
+++ b/stoneyoke/gateway/routes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from stoneyoke.lading.charts import Chart, Version, targets
+from stoneyoke.api.configuration import Configuration, Version, targets
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +54,7 @@
         return None
 
 
-def table_of(chart: Chart) -> Table:
+def table_of(chart: Configuration) -> Table:
     hosts: dict[str, list[tuple[str, Route]]] = {}
     for host, given in chart.routes():
         shares, upto = [], 0.0
@@ -63,22 +63,35 @@
             upto += share / total
             if share > 0:
                 shares.append((service, upto))
-        hosts.setdefault(host, []).append((given["path_prefix"], Route(
-            given["label"], given["route_kind"] == "pure", us(given["timeout_s"]),
-            us(given["target_s"] or given["timeout_s"]), given["rank"], given["max_tries"], given["is_public"],
-            tuple(shares))))
-    tenants = [Tenant(one["label"], one["rank"], one["rate_per_s"], one["burst_size"])
-               for one in chart.tenants or ()]
-    keys = {key: tenant for tenant, one in zip(tenants, chart.tenants or (), strict=True)
-            for key in one["api_keys"]}
+        hosts.setdefault(host, []).append(
+            (
+                given["path_prefix"],
+                Route(
+                    given["label"],
+                    given["route_kind"] == "pure",
+                    us(given["timeout_s"]),
+                    us(given["target_s"] or given["timeout_s"]),
+                    given["rank"],
+                    given["max_tries"],
+                    given["is_public"],
+                    tuple(shares),
+                ),
+            )
+        )
+    tenants = [Tenant(one["label"], one["rank"], one["rate_per_s"], one["burst_size"]) for one in chart.tenants or ()]
+    keys = {key: tenant for tenant, one in zip(tenants, chart.tenants or (), strict=True) for key in one["api_keys"]}
     return Table(
         chart.version,
         {host: tuple(sorted(rows, key=lambda row: -len(row[0]))) for host, rows in hosts.items()},
-        None if chart.tenants is None else keys, tuple(tenants),
+        None if chart.tenants is None else keys,
+        tuple(tenants),
         {name: one["max_conns"] for name, one in chart.services.items()},
         {name: one["health_path"] for name, one in chart.services.items()},
-        chart.limits["max_header_bytes"], chart.limits["max_body_bytes"],
-        us(chart.limits["header_timeout_s"]), us(chart.limits["idle_timeout_s"]))
+        chart.limits["max_header_bytes"],
+        chart.limits["max_body_bytes"],
+        us(chart.limits["header_timeout_s"]),
+        us(chart.limits["idle_timeout_s"]),
+    )
 
 
 def us(seconds: float) -> int:
--- a/stoneyoke/pilotage/piers.py
+++ b/stoneyoke/gateway/upstreams.py
@@ -4,15 +4,25 @@
 import zlib
 
 from stoneyoke.door import Door
-from stoneyoke.harbour.register import Phase
+from stoneyoke.controlplane.instance_registry import Phase
 from stoneyoke.interface import (
-    Effect, FleetNews, Group, Hearsay, Listed, Method, NewTerms, Outcome, Plan, State, Terms,
+    Effect,
+    FleetNews,
+    Group,
+    Hearsay,
+    Listed,
+    Method,
+    NewTerms,
+    Outcome,
+    Plan,
+    State,
+    Terms,
 )
 from stoneyoke.net.backends import Backends
 from stoneyoke.net.http import Message
-from stoneyoke.pilotage.bridge import Fleet
-from stoneyoke.pilotage.roster import Mooring, Roster
-from stoneyoke.pilotage.routes import Route
+from stoneyoke.gateway.control_client import Fleet
+from stoneyoke.gateway.instance_directory import KnownInstance, InstanceDirectory
+from stoneyoke.gateway.routes import Route
 from stoneyoke.runtime import Clock, Runtime
 from stoneyoke.tally import Tally
 
@@ -24,7 +34,7 @@
 BUDGET_PART = 0.5  # of the system's slack for further tries: the rest is for lists that differ and restarts
 
 
-class Pier:
+class Upstream:
     """A service as this gateway serves it."""
 
     def __init__(self, service: str, terms: Terms, clock: Clock, tally: Tally) -> None:
@@ -33,21 +43,33 @@
         self.methods: dict[tuple[bool, int, int, int], int] = {}  # numbers; a life sees few kinds of routes
 
 
-class Piers:
-    def __init__(self, clock: Clock, tally: Tally, backends: Backends, roster: Roster, zones: tuple[str, ...],
-                 zone: str, seed: int, bounds: dict[str, float]) -> None:
+class Upstreams:
+    def __init__(
+        self,
+        clock: Clock,
+        tally: Tally,
+        backends: Backends,
+        roster: InstanceDirectory,
+        zones: tuple[str, ...],
+        zone: str,
+        seed: int,
+        bounds: dict[str, float],
+    ) -> None:
         self.clock, self.tally, self.backends, self.roster = clock, tally, backends, roster
         self.zones, self.zone, self.seed, self.bounds = list(zones), zone, seed, bounds
-        self.piers: dict[str, Pier] = {}
+        self.piers: dict[str, Upstream] = {}
         self.indices = Door[str]()  # backends, by instance
-        self.at: dict[int, Mooring] = {}  # listed backends, by index
+        self.at: dict[int, KnownInstance] = {}  # listed backends, by index
         self.fleet, self.turn = Fleet(), -1
         self.backends.takes = self.takes
 
     def takes(self, backend: int) -> bool:
-        mooring = self.at.get(backend)
-        return mooring is not None and mooring.row.phase != Phase.DRAINING and (
-            mooring.row.instance not in self.roster.gone)
+        instance_known = self.at.get(backend)
+        return (
+            instance_known is not None
+            and instance_known.row.phase != Phase.DRAINING
+            and (instance_known.row.instance not in self.roster.gone)
+        )
 
     def zone_of(self, name: str) -> int:
         if name not in self.zones:
@@ -58,27 +80,52 @@
         ratio, window = self.bounds["retry_ratio"], self.bounds["retry_window_s"]
         slack = self.bounds["retry_slack"] * BUDGET_PART / self.fleet.gateways
         return Terms(
-            self.seed, self.fleet.gateways, self.fleet.own, self.zone_of(self.zone), methods,
+            self.seed,
+            self.fleet.gateways,
+            self.fleet.own,
+            self.zone_of(self.zone),
+            methods,
             tuple(Plan(0.0, 0.0, 1 / (1 + rank), 0, 0.0, 0.0) for rank in range(RANKS)),
-            1000, True, False, False, True, False, False, 1.0, 0.5, WARM_UP_US, 4.0, 1_000_000,
-            0.8 * ratio, 0.5 * slack / window, max(1.0, 0.5 * slack))
-
-    def pier(self, service: str) -> Pier:
+            1000,
+            True,
+            False,
+            False,
+            True,
+            False,
+            False,
+            1.0,
+            0.5,
+            WARM_UP_US,
+            4.0,
+            1_000_000,
+            0.8 * ratio,
+            0.5 * slack / window,
+            max(1.0, 0.5 * slack),
+        )
+
+    def pier(self, service: str) -> Upstream:
         pier = self.piers.get(service)
         if pier is None:
             first = (Method(Effect.IDEMPOTENT, Group.CELL, 1_000_000, 10_000_000, 0, 1.0, 1),)
-            pier = self.piers[service] = Pier(service, self.terms(first), self.clock, self.tally)
+            pier = self.piers[service] = Upstream(service, self.terms(first), self.clock, self.tally)
             self.list_one(pier)
         return pier
 
-    def method(self, pier: Pier, route: Route) -> int:
+    def method(self, pier: Upstream, route: Route) -> int:
         """The number under which the module knows requests of this kind."""
         kind = (route.pure, route.target_us, route.timeout_us, min(route.rank, RANKS) * 10_000 + route.tries)
         number = pier.methods.get(kind)
         if number is None:
             terms = pier.runtime.gateway.terms
-            method = Method(Effect.IDEMPOTENT if route.pure else Effect.NON_IDEMPOTENT, Group.CELL,
-                            SOFT * route.target_us, route.timeout_us, 0, 1 / (1 + min(route.rank, RANKS)), route.tries)
+            method = Method(
+                Effect.IDEMPOTENT if route.pure else Effect.NON_IDEMPOTENT,
+                Group.CELL,
+                SOFT * route.target_us,
+                route.timeout_us,
+                0,
+                1 / (1 + min(route.rank, RANKS)),
+                route.tries,
+            )
             number = pier.methods[kind] = len(terms.methods)
             pier.runtime.tell(NewTerms(self.terms((*terms.methods, method))))
         return number
@@ -96,30 +143,37 @@
             return
         self.turn = self.roster.turn
         self.at = {}
-        for mooring in self.roster.moorings.values():
-            index = self.indices.enter(mooring.row.instance)
-            self.at[index] = mooring
-            host, _, port = mooring.row.address.rpartition(":")
+        for instance_known in self.roster.known.values():
+            index = self.indices.enter(instance_known.row.instance)
+            self.at[index] = instance_known
+            host, _, port = instance_known.row.address.rpartition(":")
             self.backends.place(index, (host, int(port)))
         for index in list(self.indices.index.values()):
             if index not in self.at:
                 self.backends.forget(index)
                 if not any(pier.runtime.knows(index) for pier in self.piers.values()):
                     self.indices.leave(index)
-        for service in {mooring.row.service for mooring in self.at.values()}:
+        for service in {instance_known.row.service for instance_known in self.at.values()}:
             self.pier(service)
         for pier in self.piers.values():
             self.list_one(pier)
 
-    def list_one(self, pier: Pier) -> None:
+    def list_one(self, pier: Upstream) -> None:
         now = self.clock.now()
         entries = []
-        for index, mooring in self.at.items():
-            if mooring.row.service == pier.service:
-                left = int(mooring.warm_at * 1_000_000 - now)
-                state = State.DRAINING if mooring.row.phase == Phase.DRAINING else State.READY
-                entries.append(Listed(index, self.zone_of(mooring.row.zone), 0,
-                                      now + left - WARM_UP_US if left > 0 else 0, state))
+        for index, instance_known in self.at.items():
+            if instance_known.row.service == pier.service:
+                left = int(instance_known.warm_at * 1_000_000 - now)
+                state = State.DRAINING if instance_known.row.phase == Phase.DRAINING else State.READY
+                entries.append(
+                    Listed(
+                        index,
+                        self.zone_of(instance_known.row.zone),
+                        0,
+                        now + left - WARM_UP_US if left > 0 else 0,
+                        state,
+                    )
+                )
         pier.runtime.listed(FleetNews(True, False, entries))
         doubted = self.roster.doubted(pier.service)
         pier.runtime.tell(Hearsay(frozenset(self.indices.index[one] for one in doubted), frozenset()))
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -185,8 +185,7 @@
     terms: Terms
 
 
-Event = (Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | TimerFired | FleetNews | Hearsay
-         | NewTerms)
+Event = Arrival | StreamBegun | CallOutEnded | ClientGone | CountAnswer | TimerFired | FleetNews | Hearsay | NewTerms
 
 
 # ---- actions: what the control module asks for ----
--- a/stoneyoke/lab/cli.py
+++ b/stoneyoke/lab/cli.py
@@ -47,9 +47,7 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Folder of the run; by default runs/NAME-SEED.")
 @click.option("--json", "json_", type=click.Path(path_type=Path), help="A copy of the result.")
 @click.option("--port", type=click.IntRange(1024, 60000), default=7070, help="Ports from here on.")
-@click.option(
-    "--fleet/--no-fleet", default=None, help="In place of the scenario's own: gateways know one another."
-)
+@click.option("--fleet/--no-fleet", default=None, help="In place of the scenario's own: gateways know one another.")
 @click.option("--plan", "only_plan", is_flag=True, help="Print the plan's digest and end.")
 def run(
     file: str,
--- a/stoneyoke/lab/harbour.py
+++ b/stoneyoke/lab/cluster.py
@@ -1,8 +1,8 @@
-"""The whole system on one machine: real harbourmasters and pilots on loopback, between stand-in backends, a client and
+"""The whole system on one machine: real controllers and pilots on loopback, between stand-in backends, a client and
 an operator, with processes killed between them and a ledger that judges what was seen on the sockets.
 
-    python -m stoneyoke.lab.harbour                  # brings it up and leaves it up until Ctrl-C
-    python -m stoneyoke.lab.harbour --seconds 12     # a trial: traffic, a new configuration, a core and a pilot killed
+    python -m stoneyoke.lab.cluster                  # brings it up and leaves it up until Ctrl-C
+    python -m stoneyoke.lab.cluster --seconds 12     # a trial: traffic, a new configuration, a core and a pilot killed
 """
 
 import asyncio
@@ -35,16 +35,29 @@
 
 def chart(number: int) -> dict[str, object]:
     """The example configuration: reads and orders, one tenant; from r2 on another route."""
+
     def route(label: str, prefix: str, kind: str, service: str) -> dict[str, object]:
-        return {"label": label, "path_prefix": prefix, "route_kind": kind, "timeout_s": 2, "target_s": 0.3, "rank": 1,
-                "target_service": service, "max_tries": 3, "is_public": False}
+        return {
+            "label": label,
+            "path_prefix": prefix,
+            "route_kind": kind,
+            "timeout_s": 2,
+            "target_s": 0.3,
+            "rank": 1,
+            "target_service": service,
+            "max_tries": 3,
+            "is_public": False,
+        }
 
     routes = [route("reads", "/usage/", "pure", SERVICES[0]), route("orders", "/switch/", "effectful", SERVICES[1])]
     if number > 1:
         routes.append(route("later", "/later/", "pure", SERVICES[0]))
-    return {"generation": f"r{number}", "service_list": [{"label": name} for name in SERVICES],
-            "tenant_list": [{"label": "bureau", "api_keys": ["bureau-key"], "rate_per_s": 200, "burst_size": 200}],
-            "host_map": [{"hostname": "meter.example", "path_map": routes}]}
+    return {
+        "generation": f"r{number}",
+        "service_list": [{"label": name} for name in SERVICES],
+        "tenant_list": [{"label": "bureau", "api_keys": ["bureau-key"], "rate_per_s": 200, "burst_size": 200}],
+        "host_map": [{"hostname": "meter.example", "path_map": routes}],
+    }
 
 
 @dataclass
@@ -95,10 +108,13 @@
         self.server = await asyncio.start_server(self.serve, self.ip, 8080)
         while True:
             self.seq += 1
-            body = json.dumps({
-                "address": f"{self.ip}:8080",
-                "details": {"target_service": self.service, "generation": "v1", "zone_name": "quay", "capacity": 4},
-                "observed": {"phase": "ready", "call_seq": self.seq, "warmup_left_s": 0}}).encode()
+            body = json.dumps(
+                {
+                    "address": f"{self.ip}:8080",
+                    "details": {"target_service": self.service, "generation": "v1", "zone_name": "quay", "capacity": 4},
+                    "observed": {"phase": "ready", "call_seq": self.seq, "warmup_left_s": 0},
+                }
+            ).encode()
             head = b"POST /instances/%s/heartbeat HTTP/1.1\r\nHost: control\r\n" % self.instance.encode()
             for core in random.sample(self.cores, len(self.cores)):
                 answer = await ask(core, head, body, 1.0)
@@ -150,13 +166,15 @@
             f'[self]\nnode_name = "{name}"\nip_addr = "{ip}"\nzone_name = "quay"\n'
             f"first_start = {str(name not in self.started).lower()}\n{disk}"
             f"[network]\nport_range = [{PORT}, {PORT + 8}]\nseed_addrs = [{seeds}]\n[network.binds]\n{binds}\n"
-            f'[network.zones]\nquay = "coast"\n[provider]\nbeat_s = {BEAT_S}\n[term_set.bound_set]\n{BOUNDS}')
+            f'[network.zones]\nquay = "coast"\n[provider]\nbeat_s = {BEAT_S}\n[term_set.bound_set]\n{BOUNDS}'
+        )
         return path
 
     async def start(self, name: str) -> None:
-        program = "harbourmaster" if name in self.cores else "pilot"
+        program = "controller" if name in self.cores else "gateway"
         self.running[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", f"stoneyoke.programs.{program}", f"--settings={self.settings(name)}")
+            sys.executable, "-m", f"stoneyoke.programs.{program}", f"--settings={self.settings(name)}"
+        )
         self.started.add(name)
 
     async def kill(self, name: str, how: signal.Signals = signal.SIGKILL) -> None:
@@ -199,8 +217,10 @@
             self.ledger.answers[mark] = 0
             if order:
                 self.ledger.orders.add(mark)
-            head = (b"%s %s HTTP/1.1\r\nHost: meter.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n"
-                    b"Api-Key: bureau-key\r\n" % (b"POST" if order else b"GET", path, mark.encode()))
+            head = (
+                b"%s %s HTTP/1.1\r\nHost: meter.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n"
+                b"Api-Key: bureau-key\r\n" % (b"POST" if order else b"GET", path, mark.encode())
+            )
             ip = self.chance.choice(list(self.harbour.pilots.values()))
             answer = await ask((ip, 8782), head, b"order" if order else b"")
             status = self.ledger.answers[mark] = answer.status if answer else 0
@@ -272,8 +292,10 @@
             tasks = await bring_up(harbour, Ledger())
             print("up:", ", ".join(f"{name} at {ip}" for name, ip in (harbour.cores | harbour.pilots).items()))
             print("processes:", ", ".join(f"{name} {one.pid}" for name, one in harbour.running.items()))
-            print("  curl -H 'Host: meter.example' -H 'Api-Key: bureau-key' -H 'Attempt-Id: 1' http://127.0.2.1:8782/usage/x")
-            print("  python -m stoneyoke.programs.bosun --core 127.0.1.1:8783,127.0.1.2:8783 look")
+            print(
+                "  curl -H 'Host: meter.example' -H 'Api-Key: bureau-key' -H 'Attempt-Id: 1' http://127.0.2.1:8782/usage/x"
+            )
+            print("  python -m stoneyoke.programs.stoneyokectl --core 127.0.1.1:8783,127.0.1.2:8783 look")
             await asyncio.gather(*tasks)
         finally:
             await harbour.close()
@@ -286,8 +308,10 @@
         return
     ledger, client = asyncio.run(trial(SECONDS.value, PILOTS.value, RATE.value, SEED.value))
     broken = ledger.judge()
-    print(f"{client.served} requests served, {client.given_up} given up, {len(ledger.answers)} tries, "
-          f"{sum(ledger.runs.values())} runs at backends; {len(broken)} rules broken")
+    print(
+        f"{client.served} requests served, {client.given_up} given up, {len(ledger.answers)} tries, "
+        f"{sum(ledger.runs.values())} runs at backends; {len(broken)} rules broken"
+    )
     for line in broken[:20]:
         print(line)
     sys.exit(1 if broken or not client.served else 0)
--- a/stoneyoke/lab/http.py
+++ b/stoneyoke/lab/http.py
@@ -64,9 +64,7 @@
         """Whether anybody was there to be told."""
         if not self.transport or self.transport.is_closing():
             return False
-        self.transport.write(
-            b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), more, body)
-        )
+        self.transport.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), more, body))
         return True
 
     def abort(self) -> None:
--- a/stoneyoke/lab/ledger.py
+++ b/stoneyoke/lab/ledger.py
@@ -131,8 +131,7 @@
         for name, spans in self.away.items():
             told = [row[1] for row in self.told.get(name, [])]
             spans[:] = [
-                (a, max(b, min((t for t in told if t >= b - 1_500_000), default=b) + 500_000))
-                for a, b in spans
+                (a, max(b, min((t for t in told if t >= b - 1_500_000), default=b) + 500_000)) for a, b in spans
             ]
 
     # ---- helpers ----
@@ -188,14 +187,10 @@
             if rpc.status == -1 and rpc.words == "gave up":
                 continue
             if rpc.status == 200 and rpc.words.split(" ")[0] != rpc.id:
-                found.append(
-                    Violation("lost", rpc.answered, f"{rpc.id} was served with {rpc.words!r}", [rpc.id])
-                )
+                found.append(Violation("lost", rpc.answered, f"{rpc.id} was served with {rpc.words!r}", [rpc.id]))
             elif rpc.status <= 0 or late:
                 until = max(rpc.until, rpc.answered)
-                if self.was_away(rpc.gateway, rpc.sent, until) or self.link_struck(
-                    front, rpc.gateway, rpc.sent, until
-                ):
+                if self.was_away(rpc.gateway, rpc.sent, until) or self.link_struck(front, rpc.gateway, rpc.sent, until):
                     continue
                 what = "answered late" if late and rpc.status > 0 else rpc.words or "never answered"
                 found.append(Violation("lost", rpc.until, f"{rpc.id} at {rpc.gateway}: {what}", [rpc.id]))
@@ -206,17 +201,13 @@
         for rpc in self.rpcs.values():
             method = self.methods[rpc.method]
             if method.effect != "idempotent" and len(rpc.ran) > 1:
-                found.append(
-                    Violation("twice", rpc.ran[1][0], f"{rpc.id} ran at {[b for _, b in rpc.ran]}", [rpc.id])
-                )
+                found.append(Violation("twice", rpc.ran[1][0], f"{rpc.id} ran at {[b for _, b in rpc.ran]}", [rpc.id]))
             if method.effect == "at_most_once" and rpc.ran and rpc.status in (429, 503):
                 found.append(Violation("twice", rpc.answered, f"{rpc.id} ran and was pushed back", [rpc.id]))
             for (at, backend), (then, _) in zip(rpc.calls, rpc.calls[1:], strict=False):
                 end = next(((e, what) for e, b, what in rpc.ends if b == backend and e >= at), None)
                 if end and end[0] > then and not end[1].startswith(("unheard", "answer lost")):
-                    found.append(
-                        Violation("twice", then, f"{rpc.id} had two call-outs out at once", [rpc.id])
-                    )
+                    found.append(Violation("twice", then, f"{rpc.id} had two call-outs out at once", [rpc.id]))
         return found
 
     def drains(self) -> list[Violation]:
@@ -409,9 +400,7 @@
             "link MB": round(self.carried / 1e6, 2),
             "peer bytes s": round(self.between / scenario.seconds / scenario.gateways.count, 1),
             "peer messages s": round(self.messages / scenario.seconds / scenario.gateways.count, 2),
-            "memory MB most": round(
-                max((row[3] for rows in self.uses.values() for row in rows), default=0) / 1e6, 1
-            ),
+            "memory MB most": round(max((row[3] for rows in self.uses.values() for row in rows), default=0) / 1e6, 1),
             "descriptors most": max((row[4] for rows in self.uses.values() for row in rows), default=0),
             "cpu ms a try": round(1000 * sum(self.cpu(rows) for rows in self.uses.values()) / per, 3),
             "crashes": len(self.crashes),
--- a/stoneyoke/lab/links.py
+++ b/stoneyoke/lab/links.py
@@ -36,9 +36,7 @@
         self.refuses = "refuse" in kinds
         self.delay_s = sum(f["ms"] for f in self.faults.values() if f["kind"] == "delay") / 1000
         self.jitter_s = sum(f["jitter_ms"] for f in self.faults.values() if f["kind"] == "delay") / 1000
-        self.bytes_s = min(
-            (f["bytes_s"] for f in self.faults.values() if f["kind"] == "throttle"), default=0.0
-        )
+        self.bytes_s = min((f["bytes_s"] for f in self.faults.values() if f["kind"] == "throttle"), default=0.0)
         self.lose = max((f["part"] for f in self.faults.values() if f["kind"] == "lose"), default=0.0)
 
     def plain(self) -> bool:
@@ -88,9 +86,7 @@
         wait = state.delay_s + (self.link.chance.random() * state.jitter_s if state.jitter_s else 0.0)
         if state.bytes_s and data:
             wait += len(data) / state.bytes_s
-        self.free_at = (
-            max(self.free_at, loop.time()) + wait if state.bytes_s else max(self.free_at, loop.time() + wait)
-        )
+        self.free_at = max(self.free_at, loop.time()) + wait if state.bytes_s else max(self.free_at, loop.time() + wait)
         loop.call_at(self.free_at, self.pass_on, 1)
 
     def pass_on(self, most: int) -> None:
@@ -180,9 +176,7 @@
     def dial(self, end: End) -> None:
         async def connect() -> None:
             try:
-                _, other = await asyncio.get_running_loop().create_connection(
-                    lambda: End(self, True), *self.to
-                )
+                _, other = await asyncio.get_running_loop().create_connection(lambda: End(self, True), *self.to)
             except OSError:
                 return end.reset()
             end.other, other.other = other, end
@@ -219,9 +213,7 @@
 class Datagrams(asyncio.DatagramProtocol):
     """The UDP links that lead to one gateway: loses, delays and so reorders datagrams, by who sends them."""
 
-    def __init__(
-        self, end: str, to: tuple[str, int], senders: dict[tuple[str, int], str], seed: int = 0
-    ) -> None:
+    def __init__(self, end: str, to: tuple[str, int], senders: dict[tuple[str, int], str], seed: int = 0) -> None:
         self.end, self.to, self.senders = end, to, senders
         self.states: dict[str, State] = {}  # by sender
         self.chance = random.Random(f"{seed} {end}")
--- a/stoneyoke/lab/places.py
+++ b/stoneyoke/lab/places.py
@@ -60,8 +60,7 @@
                 (name, self.discovery, self.to_discovery(g), self.agent(g)),
             ]
             rows += [
-                (name, backend, self.to_backend(g, b), self.backend(b))
-                for b, backend in enumerate(self.backend_names)
+                (name, backend, self.to_backend(g, b), self.backend(b)) for b, backend in enumerate(self.backend_names)
             ]
         return rows
 
--- a/stoneyoke/lab/plan.py
+++ b/stoneyoke/lab/plan.py
@@ -65,16 +65,12 @@
             greedy = bool(chance.random() < clients.greedy)
             use = clients.greed if greedy else float(chance.uniform(0.5, 1.5)) * clients.use
             width = max(1, min(count, round(plan.spread * count)))
-            customers.append(
-                Customer(int(chance.integers(1 << 33)), at, int(chance.integers(count)), width, use)
-            )
+            customers.append(Customer(int(chance.integers(1 << 33)), at, int(chance.integers(count)), width, use))
             left -= plan.rate * min(1.0, use)
     return customers
 
 
-def draw_arrivals(
-    scenario: Scenario, customers: list[Customer], chance: np.random.Generator
-) -> list[Arrival]:
+def draw_arrivals(scenario: Scenario, customers: list[Customer], chance: np.random.Generator) -> list[Arrival]:
     """Poisson for each customer; its gateways take shares of 1 / place ** skew, in an order of its own."""
     methods, clients, rows = scenario.method, scenario.clients, []
     share = np.array([m.share for m in methods]) / sum(m.share for m in methods)
@@ -133,9 +129,7 @@
     for number, fault in enumerate(faults):
         begin = int(fault.at_s * 1e6)
         if targets(fault.kind) == "link":
-            strikes.append(
-                Strike(begin, fault.kind, True, [], fault.from_ or "*", fault.to or "*", fault, number)
-            )
+            strikes.append(Strike(begin, fault.kind, True, [], fault.from_ or "*", fault.to or "*", fault, number))
             if fault.for_s:
                 strikes.append(
                     Strike(
@@ -157,7 +151,5 @@
             at = begin + int(float(chance.uniform(0, fault.over_s)) * 1e6) if fault.over_s else begin
             strikes.append(Strike(at, fault.kind, True, [name], "", "", fault, number))
             if fault.for_s:
-                strikes.append(
-                    Strike(at + int(fault.for_s * 1e6), fault.kind, False, [name], "", "", fault, number)
-                )
+                strikes.append(Strike(at + int(fault.for_s * 1e6), fault.kind, False, [name], "", "", fault, number))
     return sorted(strikes, key=lambda s: (s.at_us, s.number, s.on))
--- a/stoneyoke/lab/report.py
+++ b/stoneyoke/lab/report.py
@@ -47,9 +47,7 @@
         if row[4] and (row[2], row[3]) not in seen:
             seen.add((row[2], row[3]))
             axis.axvline(row[1] / 1e6, color="#c33", lw=0.8, alpha=0.7)
-            axis.text(
-                row[1] / 1e6, axis.get_ylim()[1], row[3], color="#c33", fontsize=7, rotation=60, va="bottom"
-            )
+            axis.text(row[1] / 1e6, axis.get_ylim()[1], row[3], color="#c33", fontsize=7, rotation=60, va="bottom")
 
 
 def plots(ledger: Ledger, scenario: Scenario) -> list[tuple[str, str]]:
@@ -99,9 +97,7 @@
         second = int(at / 1e6)
         if 0 <= second < len(inside):
             (inside if fits else beyond)[second] += units
-    axis.stackplot(
-        bins[:-1], inside, beyond, labels=("inside quotas", "beyond"), colors=("#7ab", "#d63"), step="post"
-    )
+    axis.stackplot(bins[:-1], inside, beyond, labels=("inside quotas", "beyond"), colors=("#7ab", "#d63"), step="post")
     axis.set_xlabel("s")
     axis.set_ylabel("units a second")
     axis.legend(loc="lower left", fontsize=8)
--- a/stoneyoke/lab/run.py
+++ b/stoneyoke/lab/run.py
@@ -125,16 +125,12 @@
         need = math.ceil(len(links) / carriers) + SPARE
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
         if hard != resource.RLIM_INFINITY and hard < need:
-            raise CantRun(
-                f"descriptors: {need} a process are needed for {len(links)} links, the limit is {hard}"
-            )
+            raise CantRun(f"descriptors: {need} a process are needed for {len(links)} links, the limit is {hard}")
         resource.setrlimit(resource.RLIMIT_NOFILE, (need if hard == resource.RLIM_INFINITY else hard, hard))
         memory = scenario.gateways.count * GATEWAY_MB + 150 * (carriers + 4) + len(links) // 50
         free = psutil.virtual_memory().available >> 20
         if free < memory:
-            raise CantRun(
-                f"memory: {memory} MB are needed for {scenario.gateways.count} gateways, {free} MB are free"
-            )
+            raise CantRun(f"memory: {memory} MB are needed for {scenario.gateways.count} gateways, {free} MB are free")
         probes = [entry for _, _, entry, _ in links[:: max(1, len(links) // 200)]]
         probes += [self.places.gateway(g) for g in range(scenario.gateways.count)]
         for address in probes:
@@ -213,8 +209,7 @@
         places = self.places
         path = self.out / "configs" / f"g{g:03d}.json"
         known = [
-            self.entry(b) | {"address": text(places.to_backend(g, b))}
-            for b in range(self.scenario.backends.count)
+            self.entry(b) | {"address": text(places.to_backend(g, b))} for b in range(self.scenario.backends.count)
         ]
         path.write_text(
             json.dumps(
@@ -359,20 +354,16 @@
         )
         chance = np.random.Generator(np.random.PCG64(self.seed + 1))
         late = (
-            scenario.discovery.notice_ms
-            + scenario.discovery.spread_ms * chance.random(scenario.gateways.count)
+            scenario.discovery.notice_ms + scenario.discovery.spread_ms * chance.random(scenario.gateways.count)
         ) / 1000
         await self.child(
             "discovery",
             "discovery",
             {
                 "list": [self.entry(b) for b in range(given.count)],
-                "agents": [
-                    (name, places.agent(g), float(late[g])) for g, name in enumerate(places.gateway_names)
-                ],
+                "agents": [(name, places.agent(g), float(late[g])) for g, name in enumerate(places.gateway_names)],
                 "addresses": [
-                    [text(places.to_backend(g, b)) for b in range(given.count)]
-                    for g in range(scenario.gateways.count)
+                    [text(places.to_backend(g, b)) for b in range(given.count)] for g in range(scenario.gateways.count)
                 ],
             },
         )
@@ -459,9 +450,7 @@
                 discovery.say({"do": "list", "name": name, "status": "left", "since_ms": 0})
             case ("replace", False):
                 discovery.say({"do": "list", "name": name, "status": "left", "since_ms": 0})
-                discovery.say(
-                    {"do": "list", "name": name + "-new", "status": "active", "since_ms": now_ms, "place": b}
-                )
+                discovery.say({"do": "list", "name": name + "-new", "status": "active", "since_ms": now_ms, "place": b})
 
     def book(self, kind: str, *what: Any) -> None:
         at = (time.monotonic_ns() - self.started_ns) // 1000
@@ -516,9 +505,7 @@
         return self.result(partial, time.monotonic() - began)
 
     def result(self, partial: str, seconds: float) -> Result:
-        return judge(
-            self.out, self.scenario, self.drawn, self.speeds, self.crashes, self.reasons, partial, seconds
-        )
+        return judge(self.out, self.scenario, self.drawn, self.speeds, self.crashes, self.reasons, partial, seconds)
 
 
 def speeds_of(scenario: Scenario) -> list[float]:
@@ -605,21 +592,14 @@
     for seconds in (1, 3):
         window = seconds * 1_000_000
         healthy = np.array(
-            [
-                up[w * window // step : (w + 1) * window // step].all(axis=0)
-                for w in range(max(1, end_us // window))
-            ]
+            [up[w * window // step : (w + 1) * window // step].all(axis=0) for w in range(max(1, end_us // window))]
         )
         spreads[f"gateways {seconds} s"] = spread(uses, speeds, healthy, window, end_us)
-        spreads[f"central {seconds} s"] = spread(
-            central(uses, speeds, up, step), speeds, healthy, window, end_us
-        )
+        spreads[f"central {seconds} s"] = spread(central(uses, speeds, up, step), speeds, healthy, window, end_us)
     return spreads
 
 
-def carry_out(
-    scenario: Scenario, seed: int, out: Path, port: int, progress: Callable[[float], None]
-) -> Result:
+def carry_out(scenario: Scenario, seed: int, out: Path, port: int, progress: Callable[[float], None]) -> Result:
     """Runs to its end, or to Ctrl-C or SIGTERM: then what there is is judged as partial. Raises CantRun."""
     if out.exists():
         shutil.rmtree(out)
@@ -632,7 +612,5 @@
             loop.add_signal_handler(number, task.cancel)
         return await task
 
-    os.environ["PYTHONPATH"] = os.pathsep.join(
-        [str(Path(__file__).parents[2]), os.environ.get("PYTHONPATH", "")]
-    )
+    os.environ["PYTHONPATH"] = os.pathsep.join([str(Path(__file__).parents[2]), os.environ.get("PYTHONPATH", "")])
     return asyncio.run(main())
--- a/stoneyoke/lab/trials/__main__.py
+++ b/stoneyoke/lab/simulation/__main__.py
@@ -1,11 +1,11 @@
 """Trials of the whole control plane in simulated time.
 
-    python -m stoneyoke.lab.trials run --seeds 0-399      # voyages from seeds; exit code 1 if any breaks something
-    python -m stoneyoke.lab.trials show 32                # one voyage: its plan, what happened, what broke
-    python -m stoneyoke.lab.trials reduce 32              # the smallest plan found that still breaks, as JSON
-    python -m stoneyoke.lab.trials replay FILE...         # plans kept as files
-    python -m stoneyoke.lab.trials mutants --seeds 0-99   # seeded defects, each with the first voyage that finds it
-    python -m stoneyoke.lab.trials check                  # every order of the smallest worlds
+python -m stoneyoke.lab.simulation run --seeds 0-399      # voyages from seeds; exit code 1 if any breaks something
+python -m stoneyoke.lab.simulation show 32                # one voyage: its plan, what happened, what broke
+python -m stoneyoke.lab.simulation reduce 32              # the smallest plan found that still breaks, as JSON
+python -m stoneyoke.lab.simulation replay FILE...         # plans kept as files
+python -m stoneyoke.lab.simulation seeded_defects --seeds 0-99   # each with the first scenario that finds it
+python -m stoneyoke.lab.simulation check                  # every order of the smallest exhaustive
 """
 
 import json
@@ -16,11 +16,11 @@
 
 from absl import app, flags
 
-from stoneyoke.lab.trials import worlds
-from stoneyoke.lab.trials.mutants import MUTANTS, seeded
-from stoneyoke.lab.trials.plans import make_plan, read_plan, reduce
-from stoneyoke.lab.trials.runs import count, sail, sail_many, sail_seed
-from stoneyoke.lab.trials.voyage import Outcome, Voyage
+from stoneyoke.lab.simulation import exhaustive
+from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS, seeded
+from stoneyoke.lab.simulation.plans import make_plan, read_plan, reduce
+from stoneyoke.lab.simulation.runs import count, sail, sail_many, sail_seed
+from stoneyoke.lab.simulation.scenario import Outcome, Scenario
 
 SEEDS = flags.DEFINE_string("seeds", "0-199", "The first and the last seed, or one.")
 JOBS = flags.DEFINE_integer("jobs", os.cpu_count() or 1, "Voyages at once.", lower_bound=1)
@@ -41,9 +41,19 @@
 def run() -> int:
     tally = count(sail_many(seeds(), JOBS.value))
     if JSON.value:
-        print(json.dumps({"voyages": tally.voyages, "broken": {one.seed: one.broken for one in tally.broken},
-                          "met": tally.met, "trace": tally.trace, "seconds": round(tally.seconds, 1),
-                          "refused_inside": tally.refused_inside, "asked_inside": tally.asked_inside}))
+        print(
+            json.dumps(
+                {
+                    "voyages": tally.voyages,
+                    "broken": {one.seed: one.broken for one in tally.broken},
+                    "met": tally.met,
+                    "trace": tally.trace,
+                    "seconds": round(tally.seconds, 1),
+                    "refused_inside": tally.refused_inside,
+                    "asked_inside": tally.asked_inside,
+                }
+            )
+        )
     else:
         for outcome in tally.broken:
             print(told(outcome))
@@ -52,7 +62,7 @@
 
 
 def show(seed: str) -> int:
-    voyage = Voyage(make_plan(int(seed)))
+    voyage = Scenario(make_plan(int(seed)))
     voyage.judge.says = lambda now, what: print(f"{now - 1000:9.3f} {what}")
     print(voyage.plan.text())
     with seeded(MUTANT.value):
@@ -83,7 +93,7 @@
 
 def find(name: str, among: range) -> tuple[str, str]:
     """By which voyage, or world, a seeded defect is found, and as what; an empty text: by none."""
-    if broken := worlds.found(name):
+    if broken := exhaustive.found(name):
         return name, f"check: {broken}"
     for seed in among:
         if (outcome := sail_seed(seed, name)).broken:
@@ -94,17 +104,24 @@
 def seeded_defects() -> int:
     missed = 0
     with ProcessPoolExecutor(JOBS.value) as pool:
-        for name, how in pool.map(find, MUTANTS, [seeds()] * len(MUTANTS)):
+        for name, how in pool.map(find, SEEDED_DEFECTS, [seeds()] * len(SEEDED_DEFECTS)):
             print(f"{name}: {how or 'NOT FOUND'}")
             missed += not how
     return bool(missed)
 
 
 def check() -> int:
-    return worlds.report(DEPTH.value)
+    return exhaustive.report(DEPTH.value)
 
 
-COMMANDS = {"run": run, "show": show, "reduce": reduced, "replay": replay, "mutants": seeded_defects, "check": check}
+COMMANDS = {
+    "run": run,
+    "show": show,
+    "reduce": reduced,
+    "replay": replay,
+    "seeded_defects": seeded_defects,
+    "check": check,
+}
 
 
 def main(argv: list[str]) -> None:
--- a/stoneyoke/lab/trials/still.py
+++ b/stoneyoke/lab/simulation/clock.py
@@ -7,7 +7,7 @@
 STILL_TURNS = 200_000  # without time passing: somebody waits for nothing, again and again
 
 
-class StillLoop(asyncio.SelectorEventLoop):
+class SimulatedLoop(asyncio.SelectorEventLoop):
     """Time passes only when nothing is left to do, and then at once: nothing waits."""
 
     def __init__(self) -> None:
--- a/stoneyoke/lab/trials/worlds.py
+++ b/stoneyoke/lab/simulation/exhaustive.py
@@ -1,5 +1,5 @@
-"""Every order of messages, crashes and one lost disk in the smallest worlds: what was acknowledged is among what any
-enough voters tell, and no two lists of voters carry one number.
+"""Every order of messages, crashes and one lost disk in the smallest worlds: what was acknowledged is among what
+any enough voters tell, and no two lists of voters carry one number.
 
 Each step calls the real harbour.word and harbour.crew; what an office does around them is written here as steps that
 one message or one fault makes. Messages wait in a set, in no order, and may never come."""
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from stoneyoke.harbour import office
-from stoneyoke.harbour import word as logic
-from stoneyoke.harbour.crew import Reply
-from stoneyoke.harbour.word import NO_BALLOT, Ballot, Crew, Vote, Word
-from stoneyoke.lading.charts import Version
-from stoneyoke.lab.trials import mutants
+from stoneyoke.controlplane import controller
+from stoneyoke.controlplane import replica as logic
+from stoneyoke.controlplane.voter_set import Reply
+from stoneyoke.controlplane.replica import NO_BALLOT, Ballot, VoterSet, ReplicaStatus, Replica
+from stoneyoke.api.configuration import Version
+from stoneyoke.lab.simulation import seeded_defects
 
 Pending = tuple[Ballot, tuple[str, ...]] | None
 
@@ -23,11 +23,11 @@
     """On disk: version, crew, standing, promised, pending. In memory: votes of others, what it is about."""
 
     version: int
-    crew: Crew
+    crew: VoterSet
     standing: bool
     promised: Ballot
     pending: Pending
-    votes: tuple[tuple[str, Vote], ...] = ()
+    votes: tuple[tuple[str, ReplicaStatus], ...] = ()
     put: int = 0  # the version that it is to acknowledge
     back: bool = False  # it lost its disk: it takes no part in changes that may have begun before
     change: Any = None  # a Change that it is about
@@ -52,7 +52,7 @@
     crashes: int
     wipes: int
     acked: int
-    sure: tuple[Crew, ...]  # every list that was sure anywhere
+    sure: tuple[VoterSet, ...]  # every list that was sure anywhere
 
 
 @dataclass(frozen=True)
@@ -67,23 +67,34 @@
     depth: int
 
     def start(self) -> State:
-        crew = Crew(1, self.voters)
-        cores = tuple((name, Core(0, crew if name in self.voters else Crew(), name in self.voters, NO_BALLOT, None))
-                      for name in (*self.voters, *self.spares))
+        crew = VoterSet(1, self.voters)
+        cores = tuple(
+            (name, Core(0, crew if name in self.voters else VoterSet(), name in self.voters, NO_BALLOT, None))
+            for name in (*self.voters, *self.spares)
+        )
         return State(cores, frozenset(), self.puts, self.changes, self.crashes, self.wipes, 0, (crew,))
 
 
 ABC = ("a", "b", "c")
-ABSTAINS = True  # Office.mustered
+ABSTAINS = True  # Controller.mustered
 WORLDS = (
     World("two versions, a disk lost, a crash", ABC, (), ((1, "a"), (2, "b")), (), 1, 1, 17),
     World("a voter more, a version, a crash", ABC, ("d",), ((1, "b"),), (("a", ("a", "b", "c", "d")),), 1, 0, 13),
     World("a voter more, a version, a disk lost", ABC, ("d",), ((1, "b"),), (("a", ("a", "b", "c", "d")),), 0, 1, 13),
     World("a voter less, a version", ("a", "b", "c", "d"), (), ((1, "b"),), (("a", ABC),), 1, 0, 12),
-    World("two rounds at once", ABC, ("d", "e"), (),
-          (("a", ("a", "b", "c", "d")), ("b", ("a", "b", "c", "e"))), 0, 0, 14),
-    World("two rounds at once, a disk lost", ABC, ("d", "e"), (),
-          (("a", ("a", "b", "c", "d")), ("b", ("a", "b", "c", "e"))), 0, 1, 13),
+    World(
+        "two rounds at once", ABC, ("d", "e"), (), (("a", ("a", "b", "c", "d")), ("b", ("a", "b", "c", "e"))), 0, 0, 14
+    ),
+    World(
+        "two rounds at once, a disk lost",
+        ABC,
+        ("d", "e"),
+        (),
+        (("a", ("a", "b", "c", "d")), ("b", ("a", "b", "c", "e"))),
+        0,
+        1,
+        13,
+    ),
 )
 
 
@@ -91,37 +102,52 @@
     return Version(number)
 
 
-def wake(name: str, core: Core) -> Word:
-    word = Word(name)
+def wake(name: str, core: Core) -> Replica:
+    word = Replica(name)
     word.crew, word.standing, word.version = core.crew, core.standing, version_of(core.version)
     word.promised, word.pending = core.promised, core.pending
     return word
 
 
-def rest(word: Word, core: Core) -> Core:
-    return core._replace(version=word.version.number, crew=word.crew, standing=word.standing, promised=word.promised,
-                         pending=word.pending)
+def rest(word: Replica, core: Core) -> Core:
+    return core._replace(
+        version=word.version.number,
+        crew=word.crew,
+        standing=word.standing,
+        promised=word.promised,
+        pending=word.pending,
+    )
 
 
 def steps(state: State) -> Iterator[tuple[str, State]]:
     """Whatever may happen next."""
     cores = dict(state.cores)
     for at, (number, name) in enumerate(state.puts):
-        left = state.puts[:at] + state.puts[at + 1:]
+        left = state.puts[:at] + state.puts[at + 1 :]
         core = cores[name]
         if core.crew.number and not core.put:
             cores_after = put(cores, name, number)
-            yield f"put {number} at {name}", settle(state._replace(puts=left), cores_after, {
-                ("keep", name, other, number) for other in cores if other != name})
+            yield (
+                f"put {number} at {name}",
+                settle(
+                    state._replace(puts=left),
+                    cores_after,
+                    {("keep", name, other, number) for other in cores if other != name},
+                ),
+            )
     for at, (name, wish) in enumerate(state.changes):
         core = cores[name]
         if core.crew.number and core.standing and not core.change:
             ballot = (core.promised[0] + 1, name)
             change = Change(ballot, wish, "promise", core.crew.number + 1)
-            yield f"{name} begins {wish}", settle(
-                state._replace(changes=state.changes[:at] + state.changes[at + 1:]),
-                cores | {name: core._replace(change=change)},
-                {("promise", name, other, change.number, ballot) for other in core.crew.names})
+            yield (
+                f"{name} begins {wish}",
+                settle(
+                    state._replace(changes=state.changes[:at] + state.changes[at + 1 :]),
+                    cores | {name: core._replace(change=change)},
+                    {("promise", name, other, change.number, ballot) for other in core.crew.names},
+                ),
+            )
     for message in sorted(state.air, key=repr):
         yield f"{message}", deliver(state._replace(air=state.air - {message}), cores, message)
     for name in cores:
@@ -130,11 +156,23 @@
                 yield f"{name} hears {other}", settle(state, hear(cores, name, other), set())
     for name, core in cores.items():
         if state.crashes and (core.put or core.change or core.votes):
-            yield f"{name} crashes", settle(state._replace(crashes=state.crashes - 1), cores | {
-                name: core._replace(votes=(), put=0, change=None)}, set())
+            yield (
+                f"{name} crashes",
+                settle(
+                    state._replace(crashes=state.crashes - 1),
+                    cores | {name: core._replace(votes=(), put=0, change=None)},
+                    set(),
+                ),
+            )
         if state.wipes and core.crew.number:
-            yield f"{name} loses its disk", settle(state._replace(wipes=state.wipes - 1), cores | {
-                name: Core(0, Crew(), False, NO_BALLOT, None, back=ABSTAINS)}, set())
+            yield (
+                f"{name} loses its disk",
+                settle(
+                    state._replace(wipes=state.wipes - 1),
+                    cores | {name: Core(0, VoterSet(), False, NO_BALLOT, None, back=ABSTAINS)},
+                    set(),
+                ),
+            )
 
 
 def put(cores: dict[str, Core], name: str, number: int) -> dict[str, Core]:
@@ -147,13 +185,15 @@
 def told_anew(cores: dict[str, Core], name: str, other: str) -> bool:
     """Whether hearing it changes anything. Who votes keeps no votes of others: it needs them for nothing here."""
     core, there = cores[name], cores[other]
-    return there.version > core.version or there.crew.number > core.crew.number or (
-        not core.standing and name in core.crew.names
-        and dict(core.votes).get(other) != wake(other, there).vote())
+    return (
+        there.version > core.version
+        or there.crew.number > core.crew.number
+        or (not core.standing and name in core.crew.names and dict(core.votes).get(other) != wake(other, there).vote())
+    )
 
 
 def hear(cores: dict[str, Core], name: str, other: str) -> dict[str, Core]:
-    """A pull and its answer, as Office.voted takes it."""
+    """A pull and its answer, as Controller.voted takes it."""
     core = cores[name]
     word, vote = wake(name, core), wake(other, cores[other]).vote()
     word.hold(vote.version, b"")
@@ -180,7 +220,7 @@
             if core.put and crew_number == core.crew.number:
                 votes = dict(core.votes)
                 before = votes[sender].version if sender in votes else version_of(0)
-                votes[sender] = Vote(max(before, version_of(number)), core.crew, standing)
+                votes[sender] = ReplicaStatus(max(before, version_of(number)), core.crew, standing)
                 core = core._replace(votes=tuple(sorted(votes.items())))
             if core.change and core.change.phase == "copy" and number >= core.change.version:
                 core = core._replace(change=core.change._replace(copied=core.change.copied | {sender}))
@@ -190,11 +230,15 @@
             more.add((f"{kind}d", name, sender, told[1], reply, word.version.number))
         case "promised" | "accepted":
             change = core.change
-            if change and change.ballot == told[0] and change.phase + "d" == kind.replace("edd", "ed") and (
-                    sender not in [one for one, _, _ in change.replies]):
+            if (
+                change
+                and change.ballot == told[0]
+                and change.phase + "d" == kind.replace("edd", "ed")
+                and (sender not in [one for one, _, _ in change.replies])
+            ):
                 core = core._replace(change=change._replace(replies=(*change.replies, (sender, told[1], told[2]))))
         case "sure":
-            word.sure(Crew(*told))
+            word.sure(VoterSet(*told))
     core = rest(word, core) if kind not in ("kept", "promised", "accepted") else core
     return settle(state, cores | {name: core}, more)
 
@@ -211,13 +255,20 @@
             core, sent = advance(name, core, cores)
             cores, more = cores | {name: core}, more | sent
     lists = {*state.sure, *(core.crew for core in cores.values() if core.crew.number)}
-    return state._replace(cores=tuple(sorted(cores.items())), air=state.air | frozenset(more), acked=acked,
-                          sure=tuple(sorted(lists, key=repr)))
+    return state._replace(
+        cores=tuple(sorted(cores.items())),
+        air=state.air | frozenset(more),
+        acked=acked,
+        sure=tuple(sorted(lists, key=repr)),
+    )
 
 
 def advance(name: str, core: Core, cores: dict[str, Core]) -> tuple[Core, set[tuple[Any, ...]]]:
     change: Change = core.change
-    majority, to_propose = vars(office)["majority"], vars(office)["to_propose"]  # as they are there, seeded or not
+    majority, to_propose = (
+        vars(controller)["majority"],
+        vars(controller)["to_propose"],
+    )  # as they are there, seeded or not
     if change.number != core.crew.number + 1:
         return core._replace(change=None), set()
     enough = majority(len(core.crew.names))
@@ -225,21 +276,24 @@
     if change.phase == "promise" and len(fine) >= enough:
         names = to_propose(change.wish, [reply for _, reply, _ in fine])
         change = change._replace(phase="accept", names=names, replies=())
-        return core._replace(change=change), {("accept", name, other, change.number, change.ballot, names)
-                                              for other in core.crew.names}
+        return core._replace(change=change), {
+            ("accept", name, other, change.number, change.ballot, names) for other in core.crew.names
+        }
     if change.phase == "accept" and len(fine) >= enough:
         version = max(version for _, _, version in fine)
         word = wake(name, core)
         word.hold(version_of(version), b"")  # fetched from its holder
         core = rest(word, core)
         change = change._replace(phase="copy", version=version, copied=frozenset({name}))
-        return core._replace(change=change), {("keep", name, other, core.version)
-                                              for other in change.names if other != name}
+        return core._replace(change=change), {
+            ("keep", name, other, core.version) for other in change.names if other != name
+        }
     if change.phase == "copy" and len(change.copied & set(change.names)) >= majority(len(change.names)):
         word = wake(name, core)
-        word.sure(Crew(change.number, change.names))
+        word.sure(VoterSet(change.number, change.names))
         return rest(word, core)._replace(change=None), {
-            ("sure", name, other, change.number, change.names) for other in {*core.crew.names, *change.names} - {name}}
+            ("sure", name, other, change.number, change.names) for other in {*core.crew.names, *change.names} - {name}
+        }
     return core, set()
 
 
@@ -252,8 +306,11 @@
     for name, core in cores.items():
         if not core.crew.number:
             continue
-        told = sorted(cores[other].version for other in core.crew.names if other in cores
-                      and wake(other, cores[other]).votes() and cores[other].crew.number == core.crew.number)
+        told = sorted(
+            cores[other].version
+            for other in core.crew.names
+            if other in cores and wake(other, cores[other]).votes() and cores[other].crew.number == core.crew.number
+        )
         enough = vars(logic)["copies"](len(core.crew.names))
         if len(told) >= enough and told[enough - 1] < state.acked:
             return f"{name} may read back {told[enough - 1]}, {state.acked} was acknowledged"
@@ -284,8 +341,9 @@
                     continue
                 came[after] = (state, what)
                 if broken := wrong(after):
-                    return Result(world.name, len(came), step + 1, time.monotonic() - begun, broken,
-                                  way_to(came, after))
+                    return Result(
+                        world.name, len(came), step + 1, time.monotonic() - begun, broken, way_to(came, after)
+                    )
                 following.append(after)
             if len(came) > most:
                 return Result(world.name, len(came), step, time.monotonic() - begun)
@@ -305,7 +363,7 @@
 
 def found(mutant: str, most: int = 12_000) -> str:
     """What the check finds of a seeded defect, "" if nothing."""
-    with mutants.seeded(mutant):
+    with seeded_defects.seeded(mutant):
         for world in WORLDS:
             result = explore(world, most=most)
             if result.broken:
@@ -318,11 +376,11 @@
     broken = 0
     for world in WORLDS:
         result = explore(world, depth)
-        print(f"{world.name}: {result.states} states, {result.depth} steps deep, {result.seconds:.0f} s: "
-              + (result.broken or "nothing broken"))
+        print(
+            f"{world.name}: {result.states} states, {result.depth} steps deep, {result.seconds:.0f} s: "
+            + (result.broken or "nothing broken")
+        )
         for what in result.way:
             print(f"    {what}")
         broken += bool(result.broken)
     return bool(broken)
-
-
--- a/stoneyoke/lab/trials/sea.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -11,14 +11,14 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from stoneyoke.hold.stow import Hold, HoldError
-from stoneyoke.signals.messages import Message, pack, unpack
-from stoneyoke.signals.wires import Unheard
+from stoneyoke.storage.record_store import RecordStore, StorageError
+from stoneyoke.transport.messages import Message, pack, unpack
+from stoneyoke.transport.peers import PeerUnreachable
 
 Meet = Callable[[Message], Awaitable[Message | None]]
 
 
-class Sea:
+class SimulatedNetwork:
     """ports: who answers at an address, None where the machine is up and nothing listens; absent: no power.
     cuts: pairs (from, to) that carry nothing. held: machines whose links stand still."""
 
@@ -58,7 +58,7 @@
             await asyncio.sleep(0.05)
 
     def wires(self, own: str) -> Callable[[tuple[str, int]], Any]:
-        return lambda address: SeaWire(self, own, address[0])
+        return lambda address: SimulatedPeerClient(self, own, address[0])
 
     async def deliver(self, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
         """Carried whether or not the caller still waits."""
@@ -70,7 +70,7 @@
         meet = self.ports[other]
         if meet is None:
             if not answer.done():
-                answer.set_exception(Unheard("nothing listens"))
+                answer.set_exception(PeerUnreachable("nothing listens"))
             return
         times = 2 if self.doubled and self.chance.random() < self.doubled else 1
         for _ in range(times):
@@ -91,10 +91,10 @@
     return sorted((one for one in tasks if isinstance(one, asyncio.Task)), key=lambda one: int(one.get_name()[5:]))
 
 
-class SeaWire:
-    """In place of signals.wires.Wire."""
+class SimulatedPeerClient:
+    """In place of signals.wires.PeerClient."""
 
-    def __init__(self, sea: Sea, own: str, other: str) -> None:
+    def __init__(self, sea: SimulatedNetwork, own: str, other: str) -> None:
         self.sea, self.own, self.other, self.address = sea, own, other, (other, 1)
 
     async def call(self, message: Message, within_s: float) -> Message:
@@ -107,7 +107,7 @@
             async with asyncio.timeout(within_s):
                 data = await answer
         except TimeoutError as bad:
-            raise Unheard("no answer in time") from bad
+            raise PeerUnreachable("no answer in time") from bad
         finally:
             if answer.done() and not answer.cancelled():
                 answer.exception()
@@ -118,7 +118,7 @@
     """In the middle of a write."""
 
 
-class SeaHold(Hold):
+class SimulatedRecordStore(RecordStore):
     """The real records in a real folder, whose syncs are noted: `durable` is what a loss of power leaves for sure."""
 
     def __init__(self, folder: str) -> None:
@@ -134,8 +134,9 @@
             raise PowerLost
         self.syncs_left -= self.syncs_left > 0
         if path == self.folder:
-            self.durable = {name: data for name, data in self.durable.items()
-                            if os.path.exists(os.path.join(self.folder, name))}
+            self.durable = {
+                name: data for name, data in self.durable.items() if os.path.exists(os.path.join(self.folder, name))
+            }
         else:
             with open(path, "rb") as file:
                 self.durable[os.path.basename(path)] = file.read()
@@ -173,13 +174,13 @@
     def __init__(self, folder: str, chance: random.Random) -> None:
         self.folder, self.chance = folder, chance
         self.slow_s, self.hangs, self.refuses = 0.004, False, False
-        self.hold = SeaHold(folder)
+        self.hold = SimulatedRecordStore(folder)
         self.writing: Callable[[], Any] | None = None
 
-    def mount(self) -> SeaHold:
+    def mount(self) -> SimulatedRecordStore:
         """For a new process."""
         durable = self.hold.durable
-        self.hold = SeaHold(self.folder)
+        self.hold = SimulatedRecordStore(self.folder)
         self.hold.durable, self.hold.refuses = durable, self.refuses
         return self.hold
 
@@ -203,7 +204,7 @@
             self.hold.syncs_left = self.chance.randrange(3)
             try:
                 self.writing()
-            except (PowerLost, HoldError):
+            except (PowerLost, StorageError):
                 pass
         self.writing = None
         self.hold.syncs_left = -1
--- a/stoneyoke/lab/trials/plans.py
+++ b/stoneyoke/lab/simulation/plans.py
@@ -43,8 +43,9 @@
 
 def read_plan(text: str) -> Plan:
     given = json.loads(text)
-    given["tenants"] = [Tenant(one["label"], one["rate"], one["burst"], [tuple(ask) for ask in one["asks"]])
-                        for one in given["tenants"]]
+    given["tenants"] = [
+        Tenant(one["label"], one["rate"], one["burst"], [tuple(ask) for ask in one["asks"]]) for one in given["tenants"]
+    ]
     return Plan(**given)
 
 
@@ -82,8 +83,13 @@
     number = 1
     for _ in range(chance.choice((1, 3, 6))):
         number += chance.choice((1, 1, 3))
-        yield {"at": round(LEAD_S + chance.uniform(0, seconds), 2), "number": number,
-               "race": chance.random() < 0.3, "stale": chance.random() < 0.2, "bad": chance.random() < 0.1}
+        yield {
+            "at": round(LEAD_S + chance.uniform(0, seconds), 2),
+            "number": number,
+            "race": chance.random() < 0.3,
+            "stale": chance.random() < 0.2,
+            "bad": chance.random() < 0.1,
+        }
 
 
 def make_faults(chance: random.Random, plan: Plan, long: bool) -> Iterator[Fault]:
@@ -93,9 +99,29 @@
     for _ in range(some):
         at = round(LEAD_S + chance.uniform(0, plan.seconds), 2)
         for_s = round(chance.choice((0.1, 0.5, 1.5, 3.0, 6.0)) * chance.uniform(0.7, 1.3), 2)
-        kind = chance.choice(("kill", "kill", "power", "wipe", "herd", "all_cores", "cut", "cut", "core_cut",
-                              "edge_cut", "hold", "disk", "late", "keeper", "keeper", "shift", "shift", "after_ack",
-                              "after_drain"))
+        kind = chance.choice(
+            (
+                "kill",
+                "kill",
+                "power",
+                "wipe",
+                "herd",
+                "all_cores",
+                "cut",
+                "cut",
+                "core_cut",
+                "edge_cut",
+                "hold",
+                "disk",
+                "late",
+                "keeper",
+                "keeper",
+                "shift",
+                "shift",
+                "after_ack",
+                "after_drain",
+            )
+        )
         fault: Fault = {"at": at, "kind": kind, "for_s": for_s}
         if kind in ("kill", "power"):
             fault["who"] = [chance.choice(all_of)]
@@ -122,15 +148,28 @@
         yield fault
     if plan.spares:
         for at in range(plan.spares):
-            yield {"at": round(LEAD_S + chance.uniform(0, plan.seconds / 2), 2), "kind": "join", "for_s": 0.1,
-                   "who": [core(plan.cores + at)]}
+            yield {
+                "at": round(LEAD_S + chance.uniform(0, plan.seconds / 2), 2),
+                "kind": "join",
+                "for_s": 0.1,
+                "who": [core(plan.cores + at)],
+            }
     if long and plan.spares:
-        yield {"at": round(LEAD_S + chance.uniform(2, 6), 2), "kind": "remove", "for_s": 0.1,
-               "who": [chance.choice(cores[:3])], "asked": chance.random() < 0.5}
+        yield {
+            "at": round(LEAD_S + chance.uniform(2, 6), 2),
+            "kind": "remove",
+            "for_s": 0.1,
+            "who": [chance.choice(cores[:3])],
+            "asked": chance.random() < 0.5,
+        }
     closing = chance.choice(("", "", "power_all", "wipe_one", "kill_all"))
     if closing:
-        yield {"at": round(LEAD_S + plan.seconds, 2), "kind": closing, "for_s": chance.choice((0.2, 1.5)),
-               "who": cores + pilots if closing != "wipe_one" else chance.sample(cores, plan.losses)}
+        yield {
+            "at": round(LEAD_S + plan.seconds, 2),
+            "kind": closing,
+            "for_s": chance.choice((0.2, 1.5)),
+            "who": cores + pilots if closing != "wipe_one" else chance.sample(cores, plan.losses),
+        }
 
 
 def reduce(plan: Plan, breaks: Callable[[Plan], bool]) -> Plan:
@@ -149,7 +188,7 @@
     for name in ("faults", "puts", "tenants"):
         rows = getattr(plan, name)
         for at in range(len(rows)):
-            yield replace(plan, **{name: rows[:at] + rows[at + 1:]})
+            yield replace(plan, **{name: rows[:at] + rows[at + 1 :]})
     if plan.hulls:
         yield replace(plan, hulls=0)
     last = max((fault["at"] + fault["for_s"] for fault in plan.faults + plan.puts if "for_s" in fault), default=LEAD_S)
--- a/stoneyoke/lab/trials/runs.py
+++ b/stoneyoke/lab/simulation/runs.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-from stoneyoke.lab.trials import mutants
-from stoneyoke.lab.trials.plans import Plan, make_plan
-from stoneyoke.lab.trials.voyage import Outcome, Voyage
+from stoneyoke.lab.simulation import seeded_defects
+from stoneyoke.lab.simulation.plans import Plan, make_plan
+from stoneyoke.lab.simulation.scenario import Outcome, Scenario
 
 
 @dataclass
@@ -27,16 +27,18 @@
 
     def text(self) -> str:
         met = ", ".join(f"{kind} {count}" for kind, count in sorted(self.met.items()))
-        return (f"{self.voyages} voyages in {self.seconds:.0f} s, {len(self.broken)} broken, trace {self.trace}\n"
-                f"met: {met}\n{self.sent} requests passed; of tenants at half their quota {self.refused_inside} of "
-                f"{self.asked_inside} were refused")
+        return (
+            f"{self.voyages} voyages in {self.seconds:.0f} s, {len(self.broken)} broken, trace {self.trace}\n"
+            f"met: {met}\n{self.sent} requests passed; of tenants at half their quota {self.refused_inside} of "
+            f"{self.asked_inside} were refused"
+        )
 
 
 def sail(plan: Plan, mutant: str = "") -> Outcome:
     """A voyage that ends with a fault of its own is broken too."""
-    with mutants.seeded(mutant):
+    with seeded_defects.seeded(mutant):
         try:
-            return Voyage(plan).play()
+            return Scenario(plan).play()
         except Exception as bad:
             return Outcome(plan.seed, [f"a fault: {type(bad).__name__}: {bad}"], "", Counter())
 
