--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -33,10 +33,10 @@
     async with Town() as town, town.caller() as caller:
         data = rpc(b"order", b"\x00body\r\n", Req_Id="9b1f03aa5c7e2d41", Req_Deadline="5.000")
         assert await caller.ask(data) == (200, {b"Content-Length": b"3"}, b"yes")
-        (lines, body), = town.backend.got
+        ((lines, body),) = town.backend.got
         assert lines[0] == b"POST /order/x?y=1 HTTP/1.1" and body == b"\x00body\r\n"
         assert {b"Req-Id: 9b1f03aa5c7e2d41", b"Idempotency-Key: 5c0f6e1a", b"Host: app.svc"} <= set(lines)
-        told, = (float(x[14:]) for x in lines if x.startswith(b"Req-Deadline: "))
+        (told,) = (float(x[14:]) for x in lines if x.startswith(b"Req-Deadline: "))
         assert 4.0 < told <= 5.0
         assert (await caller.ask(rpc(X_Quota="units=4.0000002384185791,spread=3,first=0")))[0] == 200
         assert town.backend.connections == 1 and town.count("RPCs: ok") == 2
@@ -95,12 +95,18 @@
 
 
 BAD = [
-    (b"NONSENSE\r\n\r\n", 400), (b"GET /look HTTP/9.1\r\n\r\n", 400),
-    (b"GET /look HTTP/1.1\r\nNo colon\r\n\r\n", 400), (b"GET /look HTTP/1.1\r\nX: " + b"y" * 20_000, 431),
-    (rpc(Req_Kind="odd"), 404), (rpc(X_Plan="odd"), 400),
-    (rpc(b"order", b"x" * (BODY_TOP + 1)), 413), (rpc(b"order", b"", Idempotency_Key=None), 400),
-    (rpc(Expect="100-continue"), 417), (rpc().replace(b"GET /", b"DELETE /"), 405),
-    (rpc().replace(b"/look/", b"/lock/"), 400), (rpc(Content_Length="-1"), 400),
+    (b"NONSENSE\r\n\r\n", 400),
+    (b"GET /look HTTP/9.1\r\n\r\n", 400),
+    (b"GET /look HTTP/1.1\r\nNo colon\r\n\r\n", 400),
+    (b"GET /look HTTP/1.1\r\nX: " + b"y" * 20_000, 431),
+    (rpc(Req_Kind="odd"), 404),
+    (rpc(X_Plan="odd"), 400),
+    (rpc(b"order", b"x" * (BODY_TOP + 1)), 413),
+    (rpc(b"order", b"", Idempotency_Key=None), 400),
+    (rpc(Expect="100-continue"), 417),
+    (rpc().replace(b"GET /", b"DELETE /"), 405),
+    (rpc().replace(b"/look/", b"/lock/"), 400),
+    (rpc(Content_Length="-1"), 400),
     (rpc().replace(b"\r\n\r\n", b"\r\nReq-Id: second\r\n\r\n"), 400),
     (rpc().replace(b"\r\n\r\n", b"\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n"), 400),
     (rpc().replace(b"GET /look/x?y=1 HTTP/1.1", b"GET /look/x?y=1 HTTP/1.0"), 505),
@@ -108,21 +114,45 @@
     (rpc(b"order", Content_Length="60000000"), 413),
     (rpc(b"order", Content_Length=None, Transfer_Encoding="gzip, chunked") + b"0\r\n\r\n", 501),
     (rpc(b"order", Content_Length=None, Transfer_Encoding="chunked") + b"1;" + b"y" * 400_000, 413),
-    (rpc(b"order").replace(b"POST", b"GET"), 405), (rpc(Content_Length="1") + b"x", 400),
+    (rpc(b"order").replace(b"POST", b"GET"), 405),
+    (rpc(Content_Length="1") + b"x", 400),
     (b"GET /look HTTP/1.1\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n", 400),
     (b"CONNECT a:80 HTTP/1.1\r\n\r\n", 400),
-    *((rpc().replace(b"\r\n\r\n", b"\r\n%s: 1\r\n\r\n" % name), 400) for name in (
-        b"host", b"REQ-KIND", b"X-Quota", b"Req-Deadline", b"X-Customer", b"X-Plan")),
-    *((rpc(**{name: value}), 400) for name, values in {
-        "Req_Id": [None, "a b", "\x7f"], "Host": [None], "Req_Kind": [None], "X_Plan": [None],
-        "X_Customer": [None, "zz", "5", "f" * 16, "0x" + "0" * 14],
-        "Req_Deadline": [None, "soon", "nan", "-1", "inf", "1e9", "1e0", "+1", "1_0", "1 0"],
-        "X_Quota": [None, "units", "units=2", "units=0,spread=3,first=1", "units=nan,spread=3,first=1",
-                    "units=2,spread=0,first=1", "units=2,spread=3,first=-1", "units=4.1,spread=3,first=1",
-                    "units=2,spread=4,first=1", "units=2,spread=3,first=3", "units=+2,spread=3,first=1",
-                    "units=2,spread=1_0,first=1", "units=2, spread=3,first=1", "units=2,spread=3.0,first=1",
-                    "units=2,units=2,spread=3,first=1", "units=2,spread=3,first=1,first=1", "2,3,1"],
-    }.items() for value in values),
+    *(
+        (rpc().replace(b"\r\n\r\n", b"\r\n%s: 1\r\n\r\n" % name), 400)
+        for name in (b"host", b"REQ-KIND", b"X-Quota", b"Req-Deadline", b"X-Customer", b"X-Plan")
+    ),
+    *(
+        (rpc(**{name: value}), 400)
+        for name, values in {
+            "Req_Id": [None, "a b", "\x7f"],
+            "Host": [None],
+            "Req_Kind": [None],
+            "X_Plan": [None],
+            "X_Customer": [None, "zz", "5", "f" * 16, "0x" + "0" * 14],
+            "Req_Deadline": [None, "soon", "nan", "-1", "inf", "1e9", "1e0", "+1", "1_0", "1 0"],
+            "X_Quota": [
+                None,
+                "units",
+                "units=2",
+                "units=0,spread=3,first=1",
+                "units=nan,spread=3,first=1",
+                "units=2,spread=0,first=1",
+                "units=2,spread=3,first=-1",
+                "units=4.1,spread=3,first=1",
+                "units=2,spread=4,first=1",
+                "units=2,spread=3,first=3",
+                "units=+2,spread=3,first=1",
+                "units=2,spread=1_0,first=1",
+                "units=2, spread=3,first=1",
+                "units=2,spread=3.0,first=1",
+                "units=2,units=2,spread=3,first=1",
+                "units=2,spread=3,first=1,first=1",
+                "2,3,1",
+            ],
+        }.items()
+        for value in values
+    ),
 ]
 
 
@@ -163,7 +193,7 @@
         pouring = asyncio.create_task(pour())
         start = time.monotonic()
         assert (await caller.hear())[0] == 413 and time.monotonic() - start < 0.3
-        client, = town.program.clients.open.values()
+        (client,) = town.program.clients.open.values()
         assert not client.line.reader._buffer
         await pouring
         await until(lambda: not town.program.clients.open)
@@ -171,8 +201,14 @@
 
 @on_loop
 async def test_silent_idle_and_half_sent_connections_end_in_time_whatever_bytes_trickle_in():
-    async with (Town() as town, town.caller() as silent, town.caller() as half, town.caller() as late,
-                town.caller() as asked, town.caller() as held):
+    async with (
+        Town() as town,
+        town.caller() as silent,
+        town.caller() as half,
+        town.caller() as late,
+        town.caller() as asked,
+        town.caller() as held,
+    ):
         assert (await asked.ask(rpc()))[0] == (await late.ask(rpc()))[0] == 200
         town.backend.answer = None
         held.writer.write(rpc())
@@ -226,10 +262,20 @@
 
 
 @settings(max_examples=30, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
-@given(st.lists(st.one_of(
-    st.binary(min_size=1, max_size=80), st.just(rpc()), st.just(b"\r\n"),
-    st.tuples(st.integers(0, 200), st.binary(max_size=3)).map(
-        lambda cut: rpc()[:cut[0]] + cut[1] + rpc()[cut[0] + 1:])), min_size=1, max_size=4))
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(min_size=1, max_size=80),
+            st.just(rpc()),
+            st.just(b"\r\n"),
+            st.tuples(st.integers(0, 200), st.binary(max_size=3)).map(
+                lambda cut: rpc()[: cut[0]] + cut[1] + rpc()[cut[0] + 1 :]
+            ),
+        ),
+        min_size=1,
+        max_size=4,
+    )
+)
 @on_loop
 async def test_whatever_bytes_come_the_next_client_is_served(parts):
     async with Town() as town:
@@ -244,14 +290,23 @@
 
 
 ANSWERS = [
-    OK, b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", b"gibberish\r\n\r\n", OK[:-1], b"", None,
-    b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", OK + b"HTTP/1.1 200 OK\r\n",
-    b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nyes"]
+    OK,
+    b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+    b"gibberish\r\n\r\n",
+    OK[:-1],
+    b"",
+    None,
+    b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+    OK + b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nyes",
+]
 
 
 @settings(max_examples=25, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
-@given(st.lists(st.sampled_from(ANSWERS), min_size=1, max_size=12),
-       st.lists(st.sampled_from([b"look", b"order"]), min_size=1, max_size=4))
+@given(
+    st.lists(st.sampled_from(ANSWERS), min_size=1, max_size=12),
+    st.lists(st.sampled_from([b"look", b"order"]), min_size=1, max_size=4),
+)
 @on_loop
 async def test_whatever_a_backend_does_each_rpc_gets_one_answer_in_time(answers, kinds):
     left = list(answers)
@@ -297,7 +352,7 @@
 async def test_an_idle_connection_on_which_an_rpc_has_just_come_is_not_closed_for_room():
     async with Town() as town, town.caller() as caller:
         assert (await caller.ask(rpc()))[0] == 200
-        client, = town.program.clients.open.values()
+        (client,) = town.program.clients.open.values()
         assert client.quiet() and town.program.clients.idle_longest()
         caller.writer.write(rpc())  # on the socket; the loop has not seen it yet
         assert not client.quiet() and town.program.clients.idle_longest() is None
@@ -385,27 +440,36 @@
     async def answer(_, writer):
         writer.write(data)
         return b""
+
     return answer
 
 
-@pytest.mark.parametrize("answer, expected", [
-    (OK, Outcome.OK), (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
-    (b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
-    (b"HTTP/1.1 504 X\r\nsrv-declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
-    (b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR), (b"", Outcome.BROKEN),
-    (b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR), (b"gibberish\r\n\r\n", Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, Outcome.BROKEN),
-    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\n" + OK, Outcome.OK),
-    (None, Outcome.TIMED_OUT), (b"HTTP/1.1 200 OK\r\n\r\nyes", Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nyes", Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nyes", Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nyes", Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nyes", Outcome.BROKEN),
-    (b"HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n" + OK, Outcome.BROKEN),
-    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", Outcome.OK),
-    (OK.replace(b"OK\r\n", b"OK\r\nSrv-Load: {\xff\"\r\n"), Outcome.OK),
-    (OK + OK, Outcome.OK), (OK + b"\x00\xffnoise", Outcome.OK),
-])
+@pytest.mark.parametrize(
+    "answer, expected",
+    [
+        (OK, Outcome.OK),
+        (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 503 X\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
+        (b"HTTP/1.1 504 X\r\nsrv-declined: 1\r\nContent-Length: 0\r\n\r\n", Outcome.TURNED_AWAY),
+        (b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"", Outcome.BROKEN),
+        (b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"gibberish\r\n\r\n", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + b"x" * 65537, Outcome.BROKEN),
+        (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\n" + OK, Outcome.OK),
+        (None, Outcome.TIMED_OUT),
+        (b"HTTP/1.1 200 OK\r\n\r\nyes", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nyes", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nyes", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nyes", Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 2\r\n\r\nyes", Outcome.BROKEN),
+        (b"HTTP/1.1 101 X\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n" + OK, Outcome.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", Outcome.OK),
+        (OK.replace(b"OK\r\n", b'OK\r\nSrv-Load: {\xff"\r\n'), Outcome.OK),
+        (OK + OK, Outcome.OK),
+        (OK + b"\x00\xffnoise", Outcome.OK),
+    ],
+)
 @on_loop
 async def test_each_outcome_over_a_connection_is_told_apart(answer, expected):
     async with StandIn(answer) as stand_in:
@@ -605,8 +669,7 @@
         calls.add(1, 2, 2**64 - 1)
         await until(lambda: len(calls.told) == 3)
         assert calls.told == [(1, 1.5), (2, None), (2**64 - 1, -2.5)] and stand_in.connections == 1
-        assert stand_in.got[2][0][0].split()[:2] == [
-            b"POST", b"/counters/ffffffffffffffff?by=-2.500000&expire_ms=4000"]
+        assert stand_in.got[2][0][0].split()[:2] == [b"POST", b"/counters/ffffffffffffffff?by=-2.500000&expire_ms=4000"]
 
 
 @on_loop
@@ -645,9 +708,14 @@
     await until(lambda: not calls.counter.links and not calls.counter.tasks)
 
 
-@pytest.mark.parametrize("answer, told", [
-    (b"HTP\r\n\r\n", "nan"), (b"", "nan"),
-    *((total(text), "nan") for text in (b"many", b"", b"nan", b"inf", b"1_0", b" 1", b"+1", b"0x1", b"1,5"))])
+@pytest.mark.parametrize(
+    "answer, told",
+    [
+        (b"HTP\r\n\r\n", "nan"),
+        (b"", "nan"),
+        *((total(text), "nan") for text in (b"many", b"", b"nan", b"inf", b"1_0", b" 1", b"+1", b"0x1", b"1,5")),
+    ],
+)
 @on_loop
 async def test_a_count_without_a_usable_number_was_added_and_its_connection_is_not_used_again(answer, told):
     async with StandIn(answer) as stand_in:
@@ -670,24 +738,38 @@
 
 
 def line_of(name, address="10.1.0.1:7070", **changes):
-    return {"name": name, "address": address, "zone": "hall-b", "group": 3, "status": "active", "weight": 1.0,
-            "since_ms": 0} | changes
+    return {
+        "name": name,
+        "address": address,
+        "zone": "hall-b",
+        "group": 3,
+        "status": "active",
+        "weight": 1.0,
+        "since_ms": 0,
+    } | changes
 
 
 @on_loop
 async def test_the_watch_goes_on_at_once_and_the_news_reaches_the_module_s_words():
     placed, news = {}, []
-    fleet = Fleet(["hall-a", "hall-b"], placed.__setitem__, lambda backend: placed.pop(backend, None),
-                  lambda backend: backend == 0)
+    fleet = Fleet(
+        ["hall-a", "hall-b"],
+        placed.__setitem__,
+        lambda backend: placed.pop(backend, None),
+        lambda backend: backend == 0,
+    )
     at = []
 
     async def answer(request, writer):
         at.append(time.monotonic())
         return [
             told_list(line_of("s-1"), line_of("s-2", "10.1.0.2:80", since_ms=1_700_000_000_000), index=41),
-            told_list(line_of("s-2", "10.1.0.2:80", status="leaving"), line_of("s-1", status="left"),
-                      index=43, whole=False),
-            told_list(line_of("s-3", zone="hall-z"), index=44), None][len(at) - 1]
+            told_list(
+                line_of("s-2", "10.1.0.2:80", status="leaving"), line_of("s-1", status="left"), index=43, whole=False
+            ),
+            told_list(line_of("s-3", zone="hall-z"), index=44),
+            None,
+        ][len(at) - 1]
 
     async with StandIn(answer) as stand_in:
         discovery = Discovery(Tally(), lambda one: news.append(fleet.news(one)))
@@ -695,13 +777,18 @@
         await until(lambda: len(at) == 4)
         discovery.end()
     assert [x[0][0].split()[1] for x in stand_in.got] == [
-        b"/v1/servers", b"/v1/servers?from=41&hold_ms=1000", b"/v1/servers?from=43&hold_ms=1000",
-        b"/v1/servers?from=44&hold_ms=1000"]
+        b"/v1/servers",
+        b"/v1/servers?from=41&hold_ms=1000",
+        b"/v1/servers?from=43&hold_ms=1000",
+        b"/v1/servers?from=44&hold_ms=1000",
+    ]
     assert max(b - a for a, b in zip(at, at[1:], strict=False)) < 0.2
     told = [(n.whole, [(e.backend, e.zone, e.started_us, e.state.name) for e in n.entries]) for n in news]
     assert told == [
         (True, [(0, 1, 0, "READY"), (1, 1, 1_700_000_000_000_000, "READY")]),
-        (False, [(1, 1, 0, "DRAINING"), (0, 1, 0, "GONE")]), (True, [(2, 2, 0, "READY")])]
+        (False, [(1, 1, 0, "DRAINING"), (0, 1, 0, "GONE")]),
+        (True, [(2, 2, 0, "READY")]),
+    ]
     assert placed == {2: ("10.1.0.1", 7070)}
     assert fleet.door.index == {"s-1": 0, "s-2": 1, "s-3": 2}
     fleet.sweep()  # the module has dropped s-2, not s-1
@@ -727,8 +814,10 @@
     fleet = Fleet(["hall-b"], sites.place, sites.forget, lambda backend: False)
 
     def news(*rows):
-        return {e.backend: e.state.name for e in fleet.news(
-            News({"index": 1, "snapshot": False, "endpoints": rows[::order]})).entries}
+        return {
+            e.backend: e.state.name
+            for e in fleet.news(News({"index": 1, "snapshot": False, "endpoints": rows[::order]})).entries
+        }
 
     assert set(news(line_of("s-1"), line_of("s-2", "10.1.0.2:80")).values()) == {"READY"}
     old, before = fleet.door.index["s-1"], sites.sites[fleet.door.index["s-1"]]
@@ -741,11 +830,18 @@
     assert set(fleet.door.index) == {"s-2", "s-3"} and old in fleet.door.free
 
 
-@pytest.mark.parametrize("bad", [
-    b"", b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", b"?\r\n\r\n", json_answer([]),
-    json_answer({"index": 1}),
-    total(b"{"), json_answer({"index": 1, "snapshot": True, "endpoints": 7}),
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"",
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+        b"?\r\n\r\n",
+        json_answer([]),
+        json_answer({"index": 1}),
+        total(b"{"),
+        json_answer({"index": 1, "snapshot": True, "endpoints": 7}),
+    ],
+)
 @on_loop
 async def test_nonsense_or_silence_from_discovery_is_no_news(bad):
     news = []
@@ -761,10 +857,20 @@
     assert [len(one.entries) for one in news] == [1]
 
 
-@pytest.mark.parametrize("bad", [
-    {"name": "s-2"}, 7, line_of("s-2", "nowhere"), line_of("s-2", status="odd"), line_of("s-2", "h:70000"),
-    line_of("s-2", "h:-1"), line_of("s-2", "a b:80"), line_of("s-2", group=float("inf")),
-    line_of("s-2", since_ms=None)])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"name": "s-2"},
+        7,
+        line_of("s-2", "nowhere"),
+        line_of("s-2", status="odd"),
+        line_of("s-2", "h:70000"),
+        line_of("s-2", "h:-1"),
+        line_of("s-2", "a b:80"),
+        line_of("s-2", group=float("inf")),
+        line_of("s-2", since_ms=None),
+    ],
+)
 def test_an_entry_that_cannot_be_used_is_left_out_and_takes_no_other_backend_away(bad):
     news = News({"index": 4, "snapshot": True, "endpoints": [line_of("s-1", "[::1]:80"), bad]})
     assert [(entry.name, entry.address) for entry in news.entries] == [("s-1", ("::1", 80))]
@@ -774,11 +880,14 @@
 # ---- SIGHUP ----
 
 
-@pytest.mark.parametrize("unusable", [
-    "{", None, {"counter": "x:y"}, {"settings": {}}, {"settings": SETTINGS | {"clients": 7}}, {"seed": "-"}])
+@pytest.mark.parametrize(
+    "unusable",
+    ["{", None, {"counter": "x:y"}, {"settings": {}}, {"settings": SETTINGS | {"clients": 7}}, {"seed": "-"}],
+)
 @on_loop
 async def test_a_reload_moves_discovery_and_counter_and_an_unusable_file_changes_nothing(
-        unusable, monkeypatch, tmp_path):
+    unusable, monkeypatch, tmp_path
+):
     path, lines = tmp_path / "config.json", []
     monkeypatch.setenv("NODE_CONFIG", str(path))
     release = asyncio.Event()
@@ -794,8 +903,7 @@
         path.write_text(json.dumps(town.given | changes))
         town.program.reload()
 
-    async with (Town(late) as town, town.caller() as held, StandIn(tell) as list_2,
-                StandIn(total(b"7")) as count_2):
+    async with Town(late) as town, town.caller() as held, StandIn(tell) as list_2, StandIn(total(b"7")) as count_2:
         runtime, told = town.program.runtime, []
         counted, runtime.counted = runtime.counted, lambda *answer: (told.append(answer), counted(*answer))
         town.counter.answer = None
@@ -900,17 +1008,31 @@
 
 
 CONFIG = {
-    "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9", "seed": "8c1f",
-    "limits": {"sockets": 1024}, "known": {"index": 1, "snapshot": True, "endpoints": []},
-    "settings": SETTINGS}
-
-
-@pytest.mark.parametrize("change, named", [
-    ({"listen": None}, "listen"), ({"listen": "here"}, "listen"), ({"discovery": "x:y"}, "discovery"),
-    ({"seed": "xyz"}, "seed"), ({"counter": 7}, "counter"), ({"limits": {"sockets": 3}}, "sockets"),
-    ({"known": {"index": 1}}, "known"), ({"settings": SETTINGS | {"classes": None}}, "classes"),
-    ({"settings": SETTINGS | {"caps": {"try-limit": 5}}}, "dial-timeout-us"), (None, "NODE_CONFIG"),
-])
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:9",
+    "counter": "127.0.0.1:9",
+    "seed": "8c1f",
+    "limits": {"sockets": 1024},
+    "known": {"index": 1, "snapshot": True, "endpoints": []},
+    "settings": SETTINGS,
+}
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"listen": None}, "listen"),
+        ({"listen": "here"}, "listen"),
+        ({"discovery": "x:y"}, "discovery"),
+        ({"seed": "xyz"}, "seed"),
+        ({"counter": 7}, "counter"),
+        ({"limits": {"sockets": 3}}, "sockets"),
+        ({"known": {"index": 1}}, "known"),
+        ({"settings": SETTINGS | {"classes": None}}, "classes"),
+        ({"settings": SETTINGS | {"caps": {"try-limit": 5}}}, "dial-timeout-us"),
+        (None, "NODE_CONFIG"),
+    ],
+)
 def test_a_bad_config_ends_it_with_one_line_that_names_it(change, named, monkeypatch, tmp_path, capsys):
     path = tmp_path / "config.json"
     path.write_text("{" if change is None else json.dumps(CONFIG | change))
@@ -923,8 +1045,9 @@
 def test_the_program_serves_until_sigterm_and_prints_its_counts(tmp_path):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(CONFIG))
-    with subprocess.Popen([sys.executable, "-O", "-m", "stoneyoke"], env={"NODE_CONFIG": str(path)},
-                          stderr=subprocess.PIPE, text=True) as child:
+    with subprocess.Popen(
+        [sys.executable, "-O", "-m", "stoneyoke"], env={"NODE_CONFIG": str(path)}, stderr=subprocess.PIPE, text=True
+    ) as child:
         try:
             assert any("gateway 1 of 3 listens" in line for line in child.stderr)
             child.send_signal(signal.SIGHUP)
@@ -939,12 +1062,19 @@
 def test_a_flood_of_half_messages_exhausts_no_descriptors(tmp_path):
     path, limit = tmp_path / "config.json", 120
     path.write_text(json.dumps(CONFIG | {"listen": "127.0.0.1:0", "limits": {"sockets": limit}}))
-    code = (f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({limit}, {limit})); "
-            "import stoneyoke.__main__ as m; import socket; make = socket.create_server; "
-            "m.socket.create_server = lambda at: "
-            "(s := make(at), print(s.getsockname()[1], flush=True))[0]; m.main()")
-    with subprocess.Popen([sys.executable, "-O", "-c", code], env={"NODE_CONFIG": str(path)},
-                          stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True) as child:
+    code = (
+        f"import resource; resource.setrlimit(resource.RLIMIT_NOFILE, ({limit}, {limit})); "
+        "import stoneyoke.__main__ as m; import socket; make = socket.create_server; "
+        "m.socket.create_server = lambda at: "
+        "(s := make(at), print(s.getsockname()[1], flush=True))[0]; m.main()"
+    )
+    with subprocess.Popen(
+        [sys.executable, "-O", "-c", code],
+        env={"NODE_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as child:
         try:
             at = ("127.0.0.1", int(child.stdout.readline()))
             flood = [socket.create_connection(at) for _ in range(300)]
@@ -1015,7 +1145,7 @@
     assert program.read_options({"options": str(file)}).log.form == "json"
     monkeypatch.setenv("STONEYOKE_OPTIONS", str(file))
     assert program.read_options({}).log.form == "json"
-    for text, says in (('[log]\nform = "xml"\n', "log.form"), ('[logs]\n', "logs"), ("[log", "no TOML")):
+    for text, says in (('[log]\nform = "xml"\n', "log.form"), ("[logs]\n", "logs"), ("[log", "no TOML")):
         file.write_text(text)
         with pytest.raises(BadStart, match=says):
             program.read_options({})
@@ -1037,8 +1167,7 @@
 
     town.discovery.answer = later
     async with town, town.caller() as caller:
-        town.list = {"index": 5, "snapshot": True, "endpoints": [
-            entry("s-1", town.backend.text, "leaving")]}
+        town.list = {"index": 5, "snapshot": True, "endpoints": [entry("s-1", town.backend.text, "leaving")]}
         asking = asyncio.create_task(caller.ask(rpc()))
         await until(lambda: town.count("RPCs: waited for the first list") == 1)
         hold.set()
@@ -1071,8 +1200,9 @@
         monkeypatch.setattr(Backends, "connect", slowly)
         asking = asyncio.create_task(caller.ask(rpc()))
         await dialled.wait()
-        town.program.told(News({"index": 6, "snapshot": False, "endpoints": [
-            entry("s-1", town.backend.text, "leaving")]}))
+        town.program.told(
+            News({"index": 6, "snapshot": False, "endpoints": [entry("s-1", town.backend.text, "leaving")]})
+        )
         up.set()
         status, _, _ = await asking
         assert status == 429 and town.backend.got == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,17 @@
 from hypothesis import strategies as st
 
 from stoneyoke.interface import (
-    Abort, CallOff, CallOut, ClientGone, Effect, FleetNews, Group, Listed, Outcome, PushBack, State,
+    Abort,
+    CallOff,
+    CallOut,
+    ClientGone,
+    Effect,
+    FleetNews,
+    Group,
+    Listed,
+    Outcome,
+    PushBack,
+    State,
 )
 
 UNRUN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
@@ -60,7 +70,8 @@
         before = len(self.log)
         if what == "arrive":
             self.rpcs[self.next_rpc + 1] = dict(
-                method=number, customer=detail, deadline=self.now + 2_500_000, outs=[], ended=False)
+                method=number, customer=detail, deadline=self.now + 2_500_000, outs=[], ended=False
+            )
             self.arrive(number, detail)
         elif what == "end":
             out = [(r, n) for r, rpc in self.rpcs.items() for n, c in enumerate(rpc["outs"]) if c[2] is None]
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,13 +10,27 @@
 from stoneyoke.simhost.wire import Malformed
 
 START = {
-    "balancers": 1, "self-index": 0, "zone": 0, "discovery": "automatic", "new-key": [1],
-    "caps": {"cancel": True, "try-limit": 5}, "extra": {"units-top": 1, "has-counter": False},
+    "balancers": 1,
+    "self-index": 0,
+    "zone": 0,
+    "discovery": "automatic",
+    "new-key": [1],
+    "caps": {"cancel": True, "try-limit": 5},
+    "extra": {"units-top": 1, "has-counter": False},
     "rules": {"cold-from": 0.2, "ramp-time-us": 1, "overload-factor": 2.0, "overload-for-us": 1},
-    "classes": [
-        {"effect": "idempotent", "aim-us": 1000000, "deadline-us": 2000000, "gain": 1.0, "name": "a"}],
-    "tariffs": [{"units-per-s": 2.0, "depth": 4.0, "worth-factor": 1.0, "beyond-earns": 0.0,
-                 "overrun-cost": 0.0, "parallel": 0, "cap-rate": 0.0, "cap-depth": 0.0}],
+    "classes": [{"effect": "idempotent", "aim-us": 1000000, "deadline-us": 2000000, "gain": 1.0, "name": "a"}],
+    "tariffs": [
+        {
+            "units-per-s": 2.0,
+            "depth": 4.0,
+            "worth-factor": 1.0,
+            "beyond-earns": 0.0,
+            "overrun-cost": 0.0,
+            "parallel": 0,
+            "cap-rate": 0.0,
+            "cap-depth": 0.0,
+        }
+    ],
 }
 
 
@@ -28,10 +42,14 @@
 def spawn(start=START):
     text = json.dumps(start).encode()
     entry = struct.pack("<HHHfIQB", 0, 0, 0, 1.0, 77, 0, 0)
-    return frame([
-        struct.pack("<BHQII", 1, 3, 9, 0, len(text)), struct.pack("<BIII", 12, 0, len(text), 1),
-        struct.pack("<BHBQI", 2, 3, 2, 1, 0),
-    ], text + entry)
+    return frame(
+        [
+            struct.pack("<BHQII", 1, 3, 9, 0, len(text)),
+            struct.pack("<BIII", 12, 0, len(text), 1),
+            struct.pack("<BHBQI", 2, 3, 2, 1, 0),
+        ],
+        text + entry,
+    )
 
 
 def arrival(units=1.0):
@@ -61,12 +79,16 @@
     assert replies(frame([])) == [(1, [], b"")]
 
 
-@pytest.mark.parametrize("data, says", [
-    (frame([])[:9], "truncated header"), (spawn()[:-5], "truncated frame 1"),
-    (frame([b"\x63"]), "record 0: unknown event code 99"),
-    (frame([struct.pack("<BIII", 12, 0, 400, 2)]), "beyond a tail"),
-    (struct.pack("<IIQI", 1, 40, 0, 2) + bytes(40), "2 records don't fit"),
-])
+@pytest.mark.parametrize(
+    "data, says",
+    [
+        (frame([])[:9], "truncated header"),
+        (spawn()[:-5], "truncated frame 1"),
+        (frame([b"\x63"]), "record 0: unknown event code 99"),
+        (frame([struct.pack("<BIII", 12, 0, 400, 2)]), "beyond a tail"),
+        (struct.pack("<IIQI", 1, 40, 0, 2) + bytes(40), "2 records don't fit"),
+    ],
+)
 def test_malformed_frames_end_it_with_a_plain_line(data, says):
     with pytest.raises(Malformed, match=says):
         replies(data)
