Configuration register by consensus: state machines, rounds, services (not wired through yet)

Need: one number must mean one content, changes of voters and of content must not pass each other, a repair must leave a majority at once. Change: ballots over one register, voters in its value, joint majorities, members by their disk.

--- a/stoneyoke/controlplane/leases.py
+++ b/stoneyoke/controlplane/leases.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass, field
 
+from stoneyoke.controlplane.consensus import ReplicaId
 from stoneyoke.controlplane.quorum import majority
 
 TTL_S = 1.0
@@ -28,6 +29,10 @@
         self.silent_until = now if fresh else now + TTL_S
         self.grants: dict[str, Grant] = {}
 
+    def hold_back(self, now: float) -> None:
+        """This member has just become a voter: the voters before may have granted a lease that still runs."""
+        self.silent_until = max(self.silent_until, now + TTL_S)
+
     def ask(self, duty: str, holder: str, life: str, ttl_s: float, now: float, number: int) -> tuple[bool, str, float]:
         """Whether it is granted; who has it; for how many seconds more. number: of the round of asking: an older one
         that comes late, one that gives back above all, changes nothing (trial 2018)."""
@@ -50,19 +55,19 @@
     until: float = 0.0
     began: float = 0.0  # of the round that is out
     number: int = 0  # of it; rises with each
-    granted: set[str] = field(default_factory=set)
+    granted: set[ReplicaId] = field(default_factory=set)
     since: float = 0.0  # of this tenure; a new one begins with nothing known
 
     def ask(self, now: float) -> None:
         self.began, self.granted = now, set()
         self.number += 1
 
-    def answer(self, voter: str, ok: bool, crew: tuple[str, ...], began: float, now: float) -> None:
+    def answer(self, voter: ReplicaId, ok: bool, voters: tuple[ReplicaId, ...], began: float, now: float) -> None:
         """began: of the round that the answer belongs to; an older one's counts for nothing."""
-        if not ok or began != self.began or voter not in crew:
+        if not ok or began != self.began or voter not in voters:
             return
         self.granted.add(voter)
-        if len(self.granted) >= majority(len(crew)):
+        if len(self.granted) >= majority(len(voters)):
             if not self.holds(now):
                 self.since = now
             self.until = max(self.until, began + TTL_S * STOP)
--- /dev/null
+++ b/stoneyoke/controlplane/membership.py
@@ -0,0 +1,133 @@
+"""Who votes: the holder of the lease proposes changes, and whoever sees something left half way settles it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from loguru import logger
+
+from stoneyoke.controlplane.consensus import RegisterValue, ReplicaId, VoterSet
+from stoneyoke.controlplane.peers import NEVER, Peers
+from stoneyoke.controlplane.replication import Replication, unchanged
+from stoneyoke.controlplane.voter_set import LOST_PART, STEADY_S, MemberReport, next_members
+
+LOOK_S = 0.25
+CHANGE_S = 2.0  # one change of voters may take so long
+UNSETTLED_S = 0.5  # a value may be accepted and not known to be chosen for so long, then it is settled
+
+
+class Membership:
+    """holds_lease: whether this controller is the one that changes voters. born: when it started. size: how many
+    voters there should be. catch_up_s: the operators' bound for a machine that comes back or is new."""
+
+    def __init__(
+        self,
+        replication: Replication,
+        peers: Peers,
+        *,
+        holds_lease: Callable[[], bool],
+        clock: Callable[[], float],
+        size: int,
+        catch_up_s: float,
+        chance: random.Random,
+    ) -> None:
+        self.replication, self.replica, self.peers = replication, replication.replica, peers
+        self.holds_lease, self.clock, self.size, self.chance = holds_lease, clock, size, chance
+        self.lost_s, self.born = LOST_PART * catch_up_s, clock()
+        self.leaving = False  # this controller was told to end
+        self.unsettled_at: float | None = None
+
+    async def tend(self) -> None:
+        """For as long as this process lives."""
+        while True:
+            await asyncio.sleep(LOOK_S * (0.8 + 0.4 * self.chance.random()))
+            try:
+                await self.look()
+            except Exception:
+                logger.exception("tending the voters failed")
+
+    async def look(self) -> None:
+        if self.unsettled():
+            await self.replication.read(CHANGE_S)
+        elif self.holds_lease() and self.replica.chosen:
+            await self.change()
+
+    def unsettled(self) -> bool:
+        """Whether the newest value known here has not been known to be chosen for a while: after a start, or because
+        its proposer ended. Controllers wait for different times, so that few of them settle it at once."""
+        view, chosen = self.replica.view(), self.replica.chosen
+        if view is None or (chosen and chosen.ballot >= view.ballot):
+            self.unsettled_at = None
+            return False
+        now = self.clock()
+        if self.unsettled_at is None:
+            self.unsettled_at = now + UNSETTLED_S * self.chance.random() if chosen else now
+        return now >= self.unsettled_at
+
+    async def change(self) -> None:
+        """Proposes the next voters, or takes the mark of a change that is chosen off."""
+        chosen = self.replica.chosen
+        assert chosen
+        wanted = self.wanted(chosen.value.voters)
+        if wanted == chosen.value.voters.members and not chosen.value.previous:
+            return
+        if wanted != chosen.value.voters.members and chosen.value.previous:
+            wanted = chosen.value.voters.members  # the change before goes first
+
+        def with_members(found: RegisterValue) -> RegisterValue:
+            """Only on top of the voters that the wish was made for."""
+            if found.voters != chosen.value.voters or wanted == found.voters.members:
+                return found
+            return replace(found, voters=VoterSet(found.voters.number + 1, wanted))
+
+        decided = await self.replication.propose(with_members, CHANGE_S)
+        if decided and decided.value.voters != chosen.value.voters:
+            logger.info("voters {}: {}", decided.value.voters.number, decided.value.voters.addresses())
+            await self.replication.propose(unchanged, CHANGE_S)
+
+    def wanted(self, voters: VoterSet) -> tuple[ReplicaId, ...]:
+        now = self.clock()
+        return next_members(voters.members, self.report(voters, now), self.size, self.lost_s)
+
+    def report(self, voters: VoterSet, now: float) -> MemberReport:
+        silent = {member: self.silent_s(member, now) for member in voters.members}
+        leaving = [peer.replica for peer in self.peers.values() if peer.leaving and peer.replica]
+        if self.leaving:
+            leaving.append(self.replica.identity)
+        return MemberReport(silent, frozenset(leaving), self.learners(voters, now))
+
+    def silent_s(self, member: ReplicaId, now: float) -> float:
+        """For how long this member was not heard; since this controller's start at most."""
+        if member == self.replica.identity:
+            return 0.0
+        peer = self.peers.get(member.address)
+        heard_at = peer.heard_at if peer and peer.replica in (member, None) else NEVER
+        return now - max(heard_at, self.born)
+
+    def learners(self, voters: VoterSet, now: float) -> tuple[ReplicaId, ...]:
+        """Members without a vote that hold what is chosen, the steadiest first."""
+        chosen = self.replica.chosen
+        steady = [
+            (peer.steady_at, peer.replica)
+            for peer in self.peers.heard().values()
+            if peer.replica
+            and peer.replica not in voters.members
+            and now - peer.steady_at >= STEADY_S
+            and chosen
+            and peer.chosen_ballot >= chosen.ballot
+        ]
+        return tuple(replica for _, replica in sorted(steady))
+
+    async def leave(self, within_s: float) -> None:
+        """Gives this controller's vote to a learner, if there is one; returns then, or when the time is up."""
+        self.leaving = True
+        voters = self.replica.voters()
+        if not any(peer.replica not in voters.members and not peer.leaving for peer in self.peers.heard().values()):
+            return
+        try:
+            async with asyncio.timeout(within_s):
+                while self.replica.votes() or (self.replica.chosen and self.replica.chosen.value.previous):
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            logger.warning("left as a voter of set {}", self.replica.voters().number)
--- /dev/null
+++ b/stoneyoke/controlplane/peers.py
@@ -0,0 +1,98 @@
+"""The other controllers, as this one hears them: who answers at an address, what it holds, since when it is steady."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from stoneyoke.controlplane.consensus import NO_BALLOT, Accepted, Ballot, ReplicaId
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.controlplane.register_rows import read_value
+from stoneyoke.transport.messages import Message, PullResponse
+
+TOUCH_S = 1.2  # a peer that answered within this is in touch
+NEVER = -1e9
+
+
+class PeerLink(Protocol):
+    """A connection to another process of the system."""
+
+    address: tuple[str, int]
+
+    async def call(self, message: Message, within_s: float) -> Message:
+        """The answer. Raises PeerUnreachable."""
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another controller: its connection, what it said of itself, and how far its news was heard."""
+
+    link: PeerLink
+    replica: ReplicaId | None = None
+    view: Accepted | None = None  # without its text
+    chosen_ballot: Ballot = NO_BALLOT
+    heard_at: float = NEVER
+    life: str = ""
+    seq: int = 0
+    settled: bool = False
+    gateways: tuple[str, ...] = ()  # whose heartbeats it has heard
+    keeper: str = ""  # who has the lease of the quotas, by its word
+    leaving: bool = False
+    steady_at: float = NEVER  # since when it has answered without a break
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def hear(self, news: PullResponse, now: float) -> None:
+        replica = ReplicaId(*news.replica)
+        if now - self.heard_at > TOUCH_S or self.life != news.life or self.replica != replica:
+            self.steady_at = now
+        self.replica, self.heard_at, self.life, self.seq = replica, now, news.life, news.seq
+        self.view = Accepted(Ballot(*news.view_ballot), read_value(news.view))
+        self.chosen_ballot = Ballot(*news.chosen_ballot)
+        self.settled, self.gateways = news.settled, tuple(news.pilots)
+        self.keeper, self.leaving = news.keeper, news.leaving
+
+
+class Peers(Mapping[str, Peer]):
+    """By address. meet: called with each peer that is new."""
+
+    def __init__(
+        self,
+        own: str,
+        port: int,
+        dial: Callable[[tuple[str, int]], PeerLink],
+        clock: Callable[[], float],
+        meet: Callable[[str, Peer], None],
+    ) -> None:
+        self.own, self.port, self.dial, self.clock, self.meet = own, port, dial, clock, meet
+        self.known: dict[str, Peer] = {}
+
+    def __getitem__(self, address: str) -> Peer:
+        return self.known[address]
+
+    def __iter__(self):  # type: ignore[no-untyped-def]
+        return iter(self.known)
+
+    def __len__(self) -> int:
+        return len(self.known)
+
+    def add(self, *addresses: str) -> bool:
+        """Whether any of them is new."""
+        new = [one for one in dict.fromkeys(addresses) if one and one != self.own and one not in self.known]
+        for address in new:
+            peer = self.known[address] = Peer(self.dial((address, self.port)))
+            self.meet(address, peer)
+        return bool(new)
+
+    def in_touch(self, address: str) -> bool:
+        peer = self.known.get(address)
+        return peer is not None and self.clock() - peer.heard_at < TOUCH_S
+
+    def heard(self) -> dict[str, Peer]:
+        """Those that are in touch."""
+        now = self.clock()
+        return {address: peer for address, peer in self.known.items() if now - peer.heard_at < TOUCH_S}
+
+    def majority_in_touch(self, members: tuple[ReplicaId, ...], own: ReplicaId) -> bool:
+        """Whether more than half of these members, with their disks, are heard, this one included."""
+        near = {own, *(peer.replica for peer in self.heard().values())}
+        return bool(members) and sum(member in near for member in members) >= majority(len(members))
--- /dev/null
+++ b/stoneyoke/controlplane/record_formats.py
@@ -0,0 +1,89 @@
+"""How the register lies on disk: records of byte fields, read strictly. No I/O.
+
+Families: "identity" (the disk's own name), "promise" (small, written in each round) and "register" (the accepted
+value with the configuration's text)."""
+
+import json
+from typing import Any
+
+import msgpack
+
+from stoneyoke.api.configuration import Version
+from stoneyoke.controlplane.consensus import (
+    FIRST_DISK,
+    Accepted,
+    Ballot,
+    RegisterValue,
+    ReplicaId,
+    VoterSet,
+)
+
+Record = dict[bytes, bytes]
+IDENTITY, PROMISE, REGISTER = "identity", "promise", "register"
+OLD_CONFIGURATION, OLD_VOTERS = "word", "crew"  # families of the release before
+
+
+class BadRecord(ValueError):
+    """A whole record that does not hold what it should."""
+
+
+def identity_record(disk: str) -> Record:
+    return {b"disk": disk.encode()}
+
+
+def read_identity(record: Record) -> str:
+    try:
+        return record[b"disk"].decode()
+    except (KeyError, UnicodeDecodeError) as bad:
+        raise BadRecord(f"identity: {bad}") from bad
+
+
+def promise_record(ballot: Ballot) -> Record:
+    return {b"counter": b"%d" % ballot.counter, b"proposer": ballot.proposer.encode()}
+
+
+def read_promise(record: Record) -> Ballot:
+    try:
+        return Ballot(int(record[b"counter"]), record[b"proposer"].decode())
+    except (KeyError, ValueError) as bad:
+        raise BadRecord(f"promise: {bad}") from bad
+
+
+def register_record(accepted: Accepted) -> Record:
+    value = accepted.value
+    version = (value.version.number, value.version.digest)
+    header = (tuple(accepted.ballot), value.voters.number, value.voters.members, value.previous, version)
+    return {b"header": msgpack.packb(header), b"body": value.body}
+
+
+def read_register(record: Record) -> Accepted:
+    try:
+        ballot, number, members, previous, version = msgpack.unpackb(record[b"header"], use_list=False)
+        value = RegisterValue(
+            VoterSet(number, read_members(members)), read_members(previous), Version(*version), record[b"body"]
+        )
+        return Accepted(Ballot(*ballot), value)
+    except (KeyError, ValueError, TypeError, msgpack.UnpackException) as bad:
+        raise BadRecord(f"register: {bad}") from bad
+
+
+def read_members(rows: Any) -> tuple[ReplicaId, ...]:
+    return tuple(ReplicaId(*row) for row in rows)
+
+
+def read_old_records(voters: Record | None, configuration: Record | None, version: Version) -> Accepted | None:
+    """The register as the release before kept it, for a system that was stopped and starts with this one. Of the
+    copies the one with the highest version goes first, as it did there. version: of the configuration's text."""
+    if not voters or voters.get(b"standing") != b"1":
+        return None
+    try:
+        addresses = [name for name in voters[b"names"].decode().split(",") if name]
+        members = tuple(ReplicaId(address, FIRST_DISK) for address in sorted(addresses))
+        if json.loads(voters.get(b"pending", b"null")) is not None or not members:
+            return None
+        number = int(voters[b"number"])
+    except (KeyError, ValueError) as bad:
+        raise BadRecord(f"voters: {bad}") from bad
+    body = configuration[b"body"] if configuration and version.number else b""
+    ballot = Ballot(version.number, version.digest.hex())
+    return Accepted(ballot, RegisterValue(VoterSet(number, members), (), version, body))
--- a/stoneyoke/controlplane/replica.py
+++ b/stoneyoke/controlplane/replica.py
@@ -1,138 +1,193 @@
-"""The operator's word at one core: the highest configuration it was told, who votes, and whether it votes itself.
-
-A configuration is a register that only rises, so no order of messages matters; who votes is a numbered list that
-changes by one member at a time (docs/design/system.md)."""
-
-from dataclasses import dataclass
-
-from stoneyoke.controlplane.quorum import copies, majority
-from stoneyoke.api.configuration import Version
-
-NOTHING = Version()
-Ballot = tuple[int, str]  # of a round of a change of who votes: a number, who began it
-NO_BALLOT: Ballot = (0, "")
-
-
-@dataclass(frozen=True, slots=True)
-class VoterSet:
-    """Who votes: addresses of cores. number 0: not known. A list is told only once it is sure (harbour.crew)."""
-
-    number: int = 0
-    names: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class ReplicaStatus:
-    """What a core says of itself."""
-
-    version: Version
-    crew: VoterSet
-    standing: bool
+"""One member's copy of the register: what it has promised and accepted, on disk before anybody is told of it, and the
+newest value that it knows to be chosen."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from stoneyoke.api.configuration import Version, read_configuration
+from stoneyoke.api.schema import InvalidField
+from stoneyoke.controlplane.consensus import (
+    FIRST_DISK,
+    NO_BALLOT,
+    Accepted,
+    Acceptor,
+    Ballot,
+    ReplicaId,
+    VoterSet,
+    initial_value,
+)
+from stoneyoke.controlplane.record_formats import (
+    IDENTITY,
+    OLD_CONFIGURATION,
+    OLD_VOTERS,
+    PROMISE,
+    REGISTER,
+    BadRecord,
+    Record,
+    identity_record,
+    promise_record,
+    read_identity,
+    read_old_records,
+    read_promise,
+    read_register,
+    register_record,
+)
+from stoneyoke.storage.record_store import StorageError
+
+WAITING_MOST = 64  # writes that wait for a disk that hangs; more are refused at once
+
+Blocking = Callable[..., Awaitable[Any]]  # runs a function that may wait for the disk
+
+
+class Store(Protocol):
+    """Records on disk, in families: the newest whole one counts."""
+
+    def keep(self, family: str, record: Record) -> None:
+        """Raises StorageError."""
+
+    def load(self, family: str) -> tuple[Record | None, list[str]]:
+        """The newest whole record, and what was wrong with those after it."""
 
 
 class Replica:
-    def __init__(self, own: str) -> None:
-        self.own = own
-        self.version, self.body = NOTHING, b""
-        self.crew = VoterSet()
-        # It counts as a voter: its disk has been whole since it joined, or it has copied enough since.
-        self.standing = False
-        self.promised: Ballot = NO_BALLOT  # in the change to the list after this one
-        self.pending: tuple[Ballot, tuple[str, ...]] | None = None  # accepted in it
-
-    def found(self, crew: VoterSet | None, standing: bool, version: Version, body: bytes) -> None:
-        """What the disk holds at the start."""
-        self.crew, self.standing = crew or VoterSet(), standing and crew is not None
-        self.version, self.body = version, body
-
-    def first(self, seeds: tuple[str, ...]) -> None:
-        """The very first start, on empty disks: all are told the same seeds, and they vote."""
-        self.crew = VoterSet(1, tuple(sorted(seeds)))
-        self.standing = self.own in self.crew.names
-
-    def rises(self, version: Version) -> bool:
-        return version > self.version
-
-    def hold(self, version: Version, body: bytes) -> None:
-        """It is on this core's disk now."""
-        if self.rises(version):
-            self.version, self.body = version, body
-
-    def votes(self) -> bool:
-        """Whether what it holds counts: its disk is whole, and no change of who votes has its word."""
-        return self.member() and self.pending is None
-
-    def member(self) -> bool:
-        return self.standing and self.own in self.crew.names
-
-    def vote(self) -> ReplicaStatus:
-        return ReplicaStatus(self.version, self.crew, self.votes())
-
-    def holders(self, version: Version, votes: dict[str, ReplicaStatus]) -> int:
-        """How many voters hold this version or a higher one, by what they said themselves, this one included."""
-        said = votes | {self.own: self.vote()}
-        return sum(
-            name in said
-            and said[name].standing
-            and said[name].crew.number == self.crew.number
-            and said[name].version >= version
-            for name in self.crew.names
-        )
-
-    def kept(self, version: Version, votes: dict[str, ReplicaStatus]) -> bool:
-        """Enough voters hold it that it may be acknowledged."""
-        return self.crew.number > 0 and self.holders(version, votes) >= majority(len(self.crew.names))
-
-    def newest(self, votes: dict[str, ReplicaStatus]) -> Version | None:
-        """The highest version of enough voters that all that was acknowledged is no higher; None: too few."""
-        said = votes | {self.own: self.vote()}
-        heard = [
-            said[name].version
-            for name in self.crew.names
-            if name in said and said[name].standing and said[name].crew.number == self.crew.number
-        ]
-        if self.crew.number == 0 or len(heard) < copies(len(self.crew.names)):
+    """learned: called whenever a newer value is known to be chosen."""
+
+    def __init__(self, address: str, store: Store, blocking: Blocking, learned: Callable[[], None]) -> None:
+        self.address, self.store, self.blocking, self.learned = address, store, blocking, learned
+        self.identity = ReplicaId(address, "")
+        self.acceptor = Acceptor()
+        self.chosen: Accepted | None = None
+        self.writing = asyncio.Lock()  # one record is written at a time
+        self.waiting = 0  # for the disk
+
+    # ---- start ----
+
+    async def load(self, seeds: tuple[str, ...], first_start: bool, chance: random.Random) -> None:
+        """What the disk holds. A disk without an identity is new: at the first start of the whole system the seeds
+        vote with it, later it makes another member, which votes once the others have decided so."""
+        identity = await self.load_record(IDENTITY, read_identity)
+        accepted = await self.load_record(REGISTER, read_register)
+        promised = await self.load_record(PROMISE, read_promise)
+        if identity is None:
+            accepted, promised = await self.load_old(), None
+            fresh = first_start or accepted is not None
+            identity = FIRST_DISK if fresh else f"{chance.getrandbits(64):016x}"
+            if first_start and accepted is None:
+                accepted = initial_value(seeds)
+            # The identity goes last: a start that ends before it is a start on an empty disk again.
+            if accepted:
+                await self.blocking(self.store.keep, REGISTER, register_record(accepted))
+            await self.blocking(self.store.keep, IDENTITY, identity_record(identity))
+        self.identity = ReplicaId(self.address, identity)
+        self.acceptor = Acceptor(promised or NO_BALLOT, accepted)
+
+    async def load_record(self, family: str, read: Callable[[Record], Any]) -> Any:
+        record, wrong = await self.blocking(self.store.load, family)
+        for what in wrong:
+            logger.warning("disk: {}", what)
+        return read(record) if record else None
+
+    async def load_old(self) -> Accepted | None:
+        """The records of the release before, if these are all that there is."""
+        voters, _ = await self.blocking(self.store.load, OLD_VOTERS)
+        configuration, _ = await self.blocking(self.store.load, OLD_CONFIGURATION)
+        try:
+            held = read_configuration(configuration[b"body"]).version if configuration else Version()
+            return read_old_records(voters, configuration, held)
+        except (BadRecord, InvalidField, KeyError) as bad:
+            logger.error("disk: the records of the release before can't be read: {}", bad)
             return None
-        return max(heard)
 
-    def may_stand(self, votes: dict[str, ReplicaStatus]) -> bool:
-        """A voter without a vote may have it back: enough others of the same list have told what they hold, and
-        it holds no less. Its own copy does not count: it may have lost one that it had acknowledged."""
-        others = {name: vote for name, vote in votes.items() if name != self.own}
-        newest = replace_own(self).newest(others)
-        return self.own in self.crew.names and not self.standing and newest is not None and self.version >= newest
+    # ---- what it knows ----
 
-    def learn_crew(self, votes: dict[str, ReplicaStatus]) -> VoterSet | None:
-        """A newer list of voters that another core tells of."""
-        newest = max((vote.crew for vote in votes.values()), key=lambda crew: crew.number, default=VoterSet())
-        return newest if newest.number > self.crew.number and newest.names else None
+    def view(self) -> Accepted | None:
+        """The newest value known here, chosen or not."""
+        known = [one for one in (self.acceptor.accepted, self.chosen) if one]
+        return max(known, key=lambda one: one.ballot, default=None)
 
-    # ---- a change of who votes, at one voter ----
+    def voters(self) -> VoterSet:
+        """Who votes, as far as known here: decided if anything is known to be."""
+        newest = self.chosen or self.acceptor.accepted
+        return newest.value.voters if newest else VoterSet()
 
-    def promise(self, number: int, ballot: Ballot) -> bool:
-        if number != self.crew.number + 1 or not self.member() or ballot < self.promised:
+    def votes(self) -> bool:
+        return self.identity in self.voters().members
+
+    def chosen_number(self) -> int:
+        """The highest number of a voter set that is known to be chosen."""
+        return self.chosen.value.voters.number if self.chosen else 0
+
+    def version(self) -> Version:
+        """Of the newest chosen configuration known here."""
+        return self.chosen.value.version if self.chosen else Version()
+
+    # ---- what it is asked ----
+
+    async def prepare(self, ballot: Ballot) -> bool:
+        """Whether it has promised this ballot, on disk."""
+        async with Waiting(self):
+            if not self.acceptor.may_promise(ballot):
+                return False
+            if ballot > self.acceptor.promised:
+                await self.blocking(self.store.keep, PROMISE, promise_record(ballot))
+                self.acceptor.promise(ballot)
+            return True
+
+    async def accept(self, proposal: Accepted) -> bool:
+        """Whether it holds this proposal on disk."""
+        async with Waiting(self):
+            if not self.acceptor.may_accept(proposal.ballot):
+                return False
+            if self.acceptor.accepted is None or self.acceptor.accepted.ballot != proposal.ballot:
+                await self.blocking(self.store.keep, REGISTER, register_record(proposal))
+                self.acceptor.accept(proposal)
+            return True
+
+    async def learn(self, chosen: Accepted) -> None:
+        """A value is chosen: it is known here from now on, and kept on disk if that can be had."""
+        if self.chosen is None or chosen.ballot > self.chosen.ballot:
+            self.chosen = chosen
+            self.learned()
+        try:
+            async with Waiting(self):
+                if self.acceptor.lacks(chosen):
+                    await self.blocking(self.store.keep, REGISTER, register_record(chosen))
+                    self.acceptor.accept(chosen)
+        except StorageError as bad:
+            logger.error("disk: {}", bad)
+
+    def learn_ballot(self, ballot: Ballot) -> bool:
+        """The value under this ballot is chosen. Whether that value is known here."""
+        if self.chosen and self.chosen.ballot >= ballot:
+            return True
+        accepted = self.acceptor.accepted
+        if accepted is None or accepted.ballot != ballot:
             return False
-        self.promised = ballot
+        self.chosen = accepted
+        self.learned()
         return True
 
-    def accept(self, number: int, ballot: Ballot, names: tuple[str, ...]) -> bool:
-        if not self.promise(number, ballot):
-            return False
-        self.pending = (ballot, names)
-        return True
 
-    def sure(self, crew: VoterSet) -> bool:
-        """A newer list is decided, and what was acknowledged is held by a majority of it."""
-        if crew.number <= self.crew.number:
-            return False
-        self.crew, self.promised, self.pending = crew, NO_BALLOT, None
-        # Who did not vote before copies first, like one that lost its disk.
-        self.standing = self.standing and self.own in crew.names
-        return True
+class Waiting:
+    """The right to write a record. Raises StorageError if too many wait for the disk already."""
+
+    def __init__(self, replica: Replica) -> None:
+        self.replica = replica
 
+    async def __aenter__(self) -> None:
+        if self.replica.waiting >= WAITING_MOST:
+            raise StorageError("the disk does not answer, and too many wait for it")
+        self.replica.waiting += 1
+        try:
+            await self.replica.writing.acquire()
+        except BaseException:
+            self.replica.waiting -= 1
+            raise
 
-def replace_own(word: Replica) -> Replica:
-    """The same core as one that votes for nothing."""
-    bare = Replica(word.own)
-    bare.crew = word.crew
-    return bare
+    async def __aexit__(self, *_: object) -> None:
+        self.replica.waiting -= 1
+        self.replica.writing.release()
--- /dev/null
+++ b/stoneyoke/controlplane/replication.py
@@ -0,0 +1,272 @@
+"""Carries out rounds and reads of the register: asks the voters over the network, and tells what was chosen.
+
+What is decided stands in consensus; this file sends its questions and feeds it the answers."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from loguru import logger
+
+from stoneyoke.controlplane.consensus import Accepted, Ballot, Change, Phase, Query, ReplicaId, Round
+from stoneyoke.controlplane.peers import Peers
+from stoneyoke.controlplane.register_rows import (
+    accepted_rows,
+    ballot_row,
+    member_row,
+    read_accepted,
+    read_value,
+    value_row,
+)
+from stoneyoke.controlplane.replica import Replica
+from stoneyoke.storage.record_store import StorageError
+from stoneyoke.transport.messages import (
+    AcceptRequest,
+    AcceptResponse,
+    ChosenNotice,
+    ChosenNoticeResponse,
+    Message,
+    PrepareRequest,
+    PrepareResponse,
+    QueryRequest,
+    QueryResponse,
+    ValueRequest,
+    ValueResponse,
+)
+from stoneyoke.transport.peers import PeerUnreachable
+
+CALL_S = 0.7  # for one answer
+LARGE_S = 1.0 / (1 << 20)  # a second more for each MiB
+PAUSE_S = 0.02  # after a round that was lost to another proposer; doubled each time, with jitter
+PAUSE_MOST_S = 0.3
+QUERY_S = 0.25  # a read waits so long for replies that agree, then it runs a round
+
+Spawn = Callable[[Coroutine[Any, Any, Any]], "asyncio.Task[Any]"]
+
+
+def unchanged(value: Any) -> Any:
+    """The change of a round that only settles what is there."""
+    return value
+
+
+class Replication:
+    """proposer: this process's part of ballots: its address and life, never used by another process."""
+
+    def __init__(self, replica: Replica, peers: Peers, proposer: str, spawn: Spawn, chance: random.Random) -> None:
+        self.replica, self.peers, self.proposer, self.spawn, self.chance = replica, peers, proposer, spawn, chance
+        self.counter = 0
+        self.proposing = asyncio.Lock()  # one round of this process at a time
+
+    # ---- proposer ----
+
+    async def propose(self, change: Change, within_s: float) -> Accepted | None:
+        """The value chosen with this change applied; None: not known in time, it may be chosen yet."""
+        try:
+            async with asyncio.timeout(within_s), self.proposing:
+                pause = PAUSE_S
+                while True:
+                    if chosen := await self.run_round(change):
+                        return chosen
+                    await asyncio.sleep(pause * (0.5 + self.chance.random()))
+                    pause = min(PAUSE_MOST_S, 2 * pause)
+        except TimeoutError:
+            return None
+
+    async def run_round(self, change: Change) -> Accepted | None:
+        """One round under a fresh ballot; None if it was lost or too few voters answered."""
+        known = self.replica.view()
+        if known is None:
+            return None
+        promised = self.replica.acceptor.promised.counter
+        self.counter = max(self.counter, promised, known.ballot.counter) + 1
+        current = Round(Ballot(self.counter, self.proposer), known, self.replica.chosen_number(), change)
+        await self.drive(current)
+        if current.phase is not Phase.CHOSEN:
+            self.counter = max(self.counter, current.highest.counter)
+            return None
+        chosen = current.chosen()
+        await self.replica.learn(chosen)
+        self.tell_chosen(chosen.ballot)
+        return chosen
+
+    async def drive(self, current: Round) -> None:
+        """Asks whom the round needs, in both phases, until it is decided or nobody is left to answer."""
+        asked: set[tuple[Phase, str]] = set()
+        waiting: set[asyncio.Task[None]] = set()
+        while current.phase in (Phase.PREPARE, Phase.ACCEPT):
+            for address in sorted(current.targets()):
+                if (current.phase, address) not in asked:
+                    asked.add((current.phase, address))
+                    step = self.prepare_at if current.phase is Phase.PREPARE else self.accept_at
+                    waiting.add(self.spawn(step(current, address)))
+            if not waiting:
+                return
+            _, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+
+    async def prepare_at(self, current: Round, address: str) -> None:
+        if address == self.peers.own:
+            if await self.own(self.replica.prepare(current.ballot)):
+                return current.promised(self.replica.identity, self.replica.acceptor.accepted)
+            return self.refused(current, self.replica.acceptor.promised)
+        request = PrepareRequest(ballot_row(current.ballot), ballot_row(current.known.ballot))
+        answer = await self.ask(address, request, CALL_S)
+        if not isinstance(answer, PrepareResponse):
+            return
+        if not answer.ok:
+            return self.refused(current, Ballot(*answer.promised))
+        accepted = read_accepted(answer.has_accepted, answer.accepted_ballot, answer.accepted)
+        if accepted and accepted.ballot == current.known.ballot:
+            accepted = current.known
+        current.promised(ReplicaId(*answer.replica), accepted)
+
+    async def accept_at(self, current: Round, address: str) -> None:
+        assert current.proposal
+        proposal = Accepted(current.ballot, current.proposal)
+        if address == self.peers.own:
+            if await self.own(self.replica.accept(proposal)):
+                return current.accepted(self.replica.identity)
+            return self.refused(current, self.replica.acceptor.promised)
+        request = AcceptRequest(ballot_row(proposal.ballot), value_row(proposal.value, with_body=True))
+        answer = await self.ask(address, request, CALL_S + LARGE_S * len(proposal.value.body))
+        if not isinstance(answer, AcceptResponse):
+            return
+        if not answer.ok:
+            return self.refused(current, Ballot(*answer.promised))
+        current.accepted(ReplicaId(*answer.replica))
+
+    def refused(self, current: Round, promised: Ballot) -> None:
+        """A voter's disk may have failed: only a higher promise loses the round."""
+        if promised > current.ballot:
+            current.refused(promised)
+
+    async def own(self, step: Coroutine[Any, Any, bool]) -> bool:
+        """A step at this process's own disk."""
+        try:
+            return await step
+        except StorageError as bad:
+            logger.error("disk: {}", bad)
+            return False
+
+    async def ask(self, address: str, message: Message, within_s: float) -> Message | None:
+        self.peers.add(address)
+        try:
+            return await self.peers[address].link.call(message, within_s)
+        except PeerUnreachable:
+            return None
+
+    def tell_chosen(self, ballot: Ballot) -> None:
+        """Voters and learners hear of it at once; who does not hears it with the next pull."""
+        notice = ChosenNotice(self.peers.own, ballot_row(ballot))
+        for address in list(self.peers):
+            self.spawn(self.ask(address, notice, CALL_S))
+
+    # ---- reads ----
+
+    async def read(self, within_s: float) -> Accepted | None:
+        """The newest chosen value, no older than any that was chosen before this call; None: too few voters answer.
+
+        Where a quorum holds one value already nothing is written; else a round settles what is left half way."""
+        try:
+            async with asyncio.timeout(within_s):
+                chosen = await self.query()
+                if chosen is None:
+                    return await self.propose(unchanged, within_s)
+                await self.replica.learn(chosen)
+                return chosen
+        except TimeoutError:
+            return None
+
+    async def query(self) -> Accepted | None:
+        known = self.replica.view()
+        if known is None:
+            return None
+        current = Query(known, self.replica.chosen_number())
+        asked: set[str] = set()
+        waiting: set[asyncio.Task[None]] = set()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + QUERY_S
+        while not (chosen := current.chosen()):
+            for address in sorted(current.targets() - asked):
+                asked.add(address)
+                waiting.add(self.spawn(self.query_at(current, address)))
+            if not waiting or loop.time() >= until and current.complete():
+                return None
+            timeout = max(0.01, until - loop.time()) if current.complete() else None
+            _, waiting = await asyncio.wait(waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
+        return await self.with_body(chosen, current)
+
+    async def query_at(self, current: Query, address: str) -> None:
+        if address == self.peers.own:
+            return current.replied(self.replica.identity, self.replica.acceptor.accepted)
+        answer = await self.ask(address, QueryRequest(), CALL_S)
+        if isinstance(answer, QueryResponse):
+            accepted = read_accepted(answer.has_accepted, answer.accepted_ballot, answer.accepted)
+            current.replied(ReplicaId(*answer.replica), accepted)
+
+    async def with_body(self, chosen: Accepted, current: Query) -> Accepted | None:
+        """The same value with its text, from wherever it is."""
+        for own in (self.replica.acceptor.accepted, self.replica.chosen):
+            if own and own.ballot == chosen.ballot:
+                return own
+        for voter, accepted in current.replies.items():
+            if (
+                accepted
+                and accepted.ballot == chosen.ballot
+                and (whole := await self.fetch(voter.address, chosen.ballot))
+            ):
+                return whole
+        return None
+
+    async def fetch(self, address: str, ballot: Ballot) -> Accepted | None:
+        """The value under this ballot, or a newer one that is chosen, from another controller."""
+        answer = await self.ask(address, ValueRequest(ballot_row(ballot)), CALL_S + 1.0)
+        if not isinstance(answer, ValueResponse) or not answer.found:
+            return None
+        found = Accepted(Ballot(*answer.ballot), read_value(answer.value))
+        if found.ballot != ballot and not (answer.chosen and found.ballot > ballot):
+            return None
+        try:
+            body = zlib.decompress(found.value.body) if found.value.body else b""
+        except zlib.error as bad:
+            logger.error("a value from {} can't be read: {}", address, bad)
+            return None
+        return Accepted(found.ballot, read_value((*answer.value[:4], body)))
+
+    # ---- acceptor and learner ----
+
+    async def prepared(self, asked: PrepareRequest) -> PrepareResponse:
+        ok = await self.own(self.replica.prepare(Ballot(*asked.ballot)))
+        acceptor = self.replica.acceptor
+        with_body = ok and acceptor.accepted_ballot() != Ballot(*asked.known)
+        rows = accepted_rows(acceptor.accepted, with_body=with_body)
+        return PrepareResponse(ok, member_row(self.replica.identity), ballot_row(acceptor.promised), *rows)
+
+    async def accepted(self, asked: AcceptRequest) -> AcceptResponse:
+        proposal = Accepted(Ballot(*asked.ballot), read_value(asked.value))
+        ok = await self.own(self.replica.accept(proposal))
+        return AcceptResponse(ok, member_row(self.replica.identity), ballot_row(self.replica.acceptor.promised))
+
+    def queried(self) -> QueryResponse:
+        rows = accepted_rows(self.replica.acceptor.accepted, with_body=False)
+        return QueryResponse(member_row(self.replica.identity), *rows)
+
+    def valued(self, asked: ValueRequest) -> ValueResponse:
+        wanted, chosen, accepted = Ballot(*asked.ballot), self.replica.chosen, self.replica.acceptor.accepted
+        is_chosen = chosen is not None and chosen.ballot >= wanted
+        held = chosen if is_chosen else accepted if accepted and accepted.ballot == wanted else None
+        if held is None:
+            return ValueResponse(False, False, *accepted_rows(None, with_body=False)[1:])
+        row = value_row(held.value, with_body=False)
+        body = zlib.compress(held.value.body, 6) if held.value.body else b""
+        return ValueResponse(True, is_chosen, ballot_row(held.ballot), (*row[:4], body))
+
+    async def noticed(self, notice: ChosenNotice) -> ChosenNoticeResponse:
+        await self.catch_up(notice.address, Ballot(*notice.ballot))
+        return ChosenNoticeResponse()
+
+    async def catch_up(self, address: str, chosen: Ballot) -> None:
+        """Another controller knows a value to be chosen: this one learns it, whole, however many there were between."""
+        if not self.replica.learn_ballot(chosen) and (value := await self.fetch(address, chosen)):
+            await self.replica.learn(value)
--- a/stoneyoke/controlplane/voter_set.py
+++ b/stoneyoke/controlplane/voter_set.py
@@ -1,52 +1,56 @@
-"""Changes of who votes, one member at a time. No I/O.
+"""Which change of voters to propose. No I/O: the change itself is decided in the register (consensus)."""
 
-The list with number n + 1 is decided once, by the voters of list n: a round asks them to promise, then to accept (the
-highest accepted list of those that promised is taken on, as in any single decision by majority). Who has accepted does
-not vote any more until the new list is sure: so nothing is acknowledged under n once a majority has accepted, and what
-was acknowledged before is held by one of them. It is copied to a majority of the new list, then the list is sure.
-Neighbouring lists differ by one member, and any majorities of theirs meet."""
-
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-from stoneyoke.controlplane.quorum import majority
-from stoneyoke.controlplane.replica import Ballot, VoterSet
-
-STEADY_S = 2.0  # a core in touch for so long may vote
-LOST_S = 30.0  # a voter silent for so long is replaced: longer than any start, cut or slow disk that it comes back from
+from stoneyoke.controlplane.consensus import ReplicaId
 
+# A voter that is silent for this part of catch_up_s is replaced if a learner stands ready. A lost machine counts as
+# lost until catch_up_s after its successor's start: the other half is left for the successor's start and the rounds.
+LOST_PART = 0.5
+STEADY_S = 0.5  # a learner in touch for so long, with all that is chosen, may vote
 
-def wanted_size(losses: int) -> int:
-    """So many voters that a majority outlives as many losses."""
-    return max(3, 2 * losses + 1)
 
+@dataclass(frozen=True, slots=True)
+class MemberReport:
+    """What the proposer of a change knows of the others.
 
-def change(crew: VoterSet, silent_s: Mapping[str, float], steady_s: Mapping[str, float], size: int) -> tuple[str, ...]:
-    """The next list, the same one if nothing is to change. silent_s: for how long each voter was not heard, 0 for this
-    core; steady_s: for how long each core that does not vote has been in touch without a break."""
-    names = set(crew.names)
-    lost = sorted((name for name in names if silent_s.get(name, 0.0) > LOST_S), key=lambda name: -silent_s[name])
-    ready = sorted(name for name, for_s in steady_s.items() if for_s >= STEADY_S and name not in names)
-    if len(names) > size and lost:
-        rest = names - {lost[0]}
-        heard = sum(silent_s.get(name, 0.0) < STEADY_S for name in rest)
-        return tuple(sorted(rest)) if heard >= majority(len(rest)) else crew.names
-    if ready and (len(names) < size or lost and len(names) == size):
-        return tuple(sorted(names | {ready[0]}))
-    return crew.names
+    silent_s: for how long each voter was not heard, 0 for the proposer itself. leaving: members that were told to end.
+    learners: members without a vote that hold the newest chosen value, the one steady for longest first."""
 
+    silent_s: Mapping[ReplicaId, float]
+    leaving: Collection[ReplicaId]
+    learners: tuple[ReplicaId, ...]
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A voter's answer to a round."""
 
-    ok: bool
-    crew: VoterSet
-    promised: Ballot
-    pending: tuple[Ballot, tuple[str, ...]] | None
+def wanted_size(losses: int) -> int:
+    """So many voters that a majority outlives as many losses."""
+    return max(3, 2 * losses + 1)
 
 
-def to_propose(wish: tuple[str, ...], replies: list[Reply]) -> tuple[str, ...]:
-    """What a round may ask to accept, told by those that promised: a list that may be decided already goes first."""
-    accepted = [reply.pending for reply in replies if reply.ok and reply.pending]
-    return max(accepted)[1] if accepted else wish
+def next_members(
+    members: tuple[ReplicaId, ...], report: MemberReport, size: int, lost_s: float
+) -> tuple[ReplicaId, ...]:
+    """The voters to propose; the same ones if nothing is to change.
+
+    A voter gives its place to a learner if it leaves, was silent for lost_s, or lost its disk: then its address
+    belongs to another member. Without a learner it keeps its place: it may be back, cut off as it is. Voters are added
+    only up to an odd number, since an even one bears no more losses than the odd one below it."""
+    ready = [learner for learner in report.learners if learner not in members and learner not in report.leaving]
+    gone = [member for member in members if is_gone(member, report, ready, lost_s)]
+    result = list(members)
+    for member in gone:
+        successor = next((one for one in ready if one.address == member.address), ready[0] if ready else None)
+        if successor is None:
+            break
+        ready.remove(successor)
+        result[result.index(member)] = successor
+    added = ready[: max(0, size - len(result))]
+    if (len(result) + len(added)) % 2 == 0 and added:
+        added.pop()
+    return tuple(sorted((*result, *added)))
+
+
+def is_gone(member: ReplicaId, report: MemberReport, ready: list[ReplicaId], lost_s: float) -> bool:
+    superseded = any(learner.address == member.address for learner in ready)
+    return superseded or member in report.leaving or report.silent_s.get(member, 0.0) > lost_s
--- a/stoneyoke/transport/messages.py
+++ b/stoneyoke/transport/messages.py
@@ -18,6 +18,11 @@
 
 Row = tuple[str, str, str, str, str, int, int, int, float]  # see harbour.register.InstanceRecord.row()
 Stamp = tuple[int, bytes]  # a configuration's number and digest
+BallotRow = tuple[int, str]  # consensus.Ballot
+MemberRow = tuple[str, str]  # consensus.ReplicaId
+# consensus.RegisterValue: number of the voter set, its members, the members before, version, the configuration's text
+# ("" where the receiver need not have it).
+ValueRow = tuple[int, list[MemberRow], list[MemberRow], Stamp, bytes]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,21 +47,23 @@
 
 @dataclass(frozen=True, slots=True)
 class PullResponse:
-    """rows: records that changed; whole: all of them. crew: who votes, and the number of that list. roll: rises with
-    each change of cores and pilots, which are told only to those that lack them. pilots: names of the gateways whose
-    beats were heard. keeper: who holds the duty of the quotas, "" if not known."""
+    """rows: instances that changed; whole: all of them. replica: the member that answers. view: the newest value of the
+    register that it knows, chosen or not, without its text. roll: rises with each change of controllers and gateways,
+    which are told only to those that lack them. pilots: names of the gateways whose heartbeats were heard. keeper: who
+    holds the lease of the quotas, "" if not known."""
 
     life: str
     seq: int
     whole: bool
     rows: list[Row]
-    stamp: Stamp
-    standing: bool  # this core votes and has all that was acknowledged
-    settled: bool  # it has asked others for the records that it may have known in an earlier life
-    crew_number: int
-    crew: list[str]
+    replica: MemberRow
+    view_ballot: BallotRow
+    view: ValueRow
+    chosen_ballot: BallotRow  # of the newest value that is known there to be chosen
+    stamp: Stamp  # of that value's configuration: what may be put in force
+    settled: bool  # it has asked others for the instances that it may have known in an earlier life
     keeper: str
-    leaving: bool  # it hands over its vote and ends
+    leaving: bool  # it was told to end
     zone: str
     roll: int
     cores: list[str]
@@ -65,7 +72,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchRequest:
-    """Asks for the configuration that is held."""
+    """Asks for the newest chosen configuration."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,63 +84,102 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoreRequest:
-    """A core is to hold this configuration, if it is higher than what it holds."""
+class PrepareRequest:
+    """A round asks for a promise. known: the ballot of a value that the proposer has with its text."""
 
-    crew_number: int
-    stamp: Stamp
-    body: bytes
+    ballot: BallotRow
+    known: BallotRow
 
 
 @dataclass(frozen=True, slots=True)
-class StoreResponse:
-    """What is on this core's disk, synced; whether it counts as a vote in that crew."""
+class PrepareResponse:
+    """accepted: what is accepted here under accepted_ballot, with its text if that is not the value known."""
 
-    stamp: Stamp
-    crew_number: int
-    standing: bool
+    ok: bool
+    replica: MemberRow
+    promised: BallotRow
+    has_accepted: bool
+    accepted_ballot: BallotRow
+    accepted: ValueRow
 
 
 @dataclass(frozen=True, slots=True)
-class InstanceUpdate:
-    """Beats that a core heard from the backends themselves."""
+class AcceptRequest:
+    """A round's proposal, to be on disk before the answer."""
 
-    rows: list[Row]
+    ballot: BallotRow
+    value: ValueRow
 
 
 @dataclass(frozen=True, slots=True)
-class InstanceRefresh:
-    """Beats that tell nothing new: instances, each with its call_seq. A fifth of the bytes of their rows."""
+class AcceptResponse:
+    ok: bool
+    replica: MemberRow
+    promised: BallotRow
 
-    beats: list[tuple[str, int]]
+
+@dataclass(frozen=True, slots=True)
+class QueryRequest:
+    """Asks for what is accepted, without a promise."""
 
 
 @dataclass(frozen=True, slots=True)
-class InstanceUpdateResponse:
+class QueryResponse:
+    """accepted: without its text."""
+
+    replica: MemberRow
+    has_accepted: bool
+    accepted_ballot: BallotRow
+    accepted: ValueRow
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenNotice:
+    """The value under this ballot is chosen."""
+
+    address: str  # of who tells it and has the value
+    ballot: BallotRow
+
+
+@dataclass(frozen=True, slots=True)
+class ChosenNoticeResponse:
     pass
 
 
 @dataclass(frozen=True, slots=True)
-class Muster:
-    """A step of a change of who votes: "promise", "accept" or "sure"; the list's number, the round's ballot."""
+class ValueRequest:
+    """Asks for the value under a ballot, or a newer chosen one, with its text."""
 
-    step: str
-    number: int
-    ballot: tuple[int, str]
-    crew: list[str]
+    ballot: BallotRow
 
 
 @dataclass(frozen=True, slots=True)
-class Mustered:
-    """crew_number, crew: the list that is sure here. pending: what was accepted after it, with its ballot."""
+class ValueResponse:
+    """chosen: it is known there to be chosen. The text is deflated."""
 
-    ok: bool
-    crew_number: int
-    crew: list[str]
-    promised: tuple[int, str]
-    pending_ballot: tuple[int, str]
-    pending: list[str]
-    stamp: Stamp
+    found: bool
+    chosen: bool
+    ballot: BallotRow
+    value: ValueRow
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceUpdate:
+    """Beats that a core heard from the backends themselves."""
+
+    rows: list[Row]
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceRefresh:
+    """Beats that tell nothing new: instances, each with its call_seq. A fifth of the bytes of their rows."""
+
+    beats: list[tuple[str, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceUpdateResponse:
+    pass
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +191,7 @@
     life: str
     ttl_ms: int
     number: int  # of the holder's round of asking
+    voters_number: int  # of the voter set that is asked
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,8 +201,8 @@
     ok: bool
     holder: str
     left_ms: int
-    crew_number: int
-    standing: bool
+    voters_number: int  # of the voter set that it grants for
+    replica: MemberRow
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,13 +232,19 @@
     PullResponse,
     FetchRequest,
     FetchResponse,
-    StoreRequest,
-    StoreResponse,
+    PrepareRequest,
+    PrepareResponse,
+    AcceptRequest,
+    AcceptResponse,
+    QueryRequest,
+    QueryResponse,
+    ChosenNotice,
+    ChosenNoticeResponse,
+    ValueRequest,
+    ValueResponse,
     InstanceUpdate,
     InstanceRefresh,
     InstanceUpdateResponse,
-    Muster,
-    Mustered,
     LeaseRequest,
     LeaseResponse,
     QuotaRequest,
@@ -205,13 +258,19 @@
     | PullResponse
     | FetchRequest
     | FetchResponse
-    | StoreRequest
-    | StoreResponse
+    | PrepareRequest
+    | PrepareResponse
+    | AcceptRequest
+    | AcceptResponse
+    | QueryRequest
+    | QueryResponse
+    | ChosenNotice
+    | ChosenNoticeResponse
+    | ValueRequest
+    | ValueResponse
     | InstanceUpdate
     | InstanceRefresh
     | InstanceUpdateResponse
-    | Muster
-    | Mustered
     | LeaseRequest
     | LeaseResponse
     | QuotaRequest
