--- a/stoneyoke/controlplane/replica.py
+++ b/stoneyoke/controlplane/replica.py
@@ -38,6 +38,7 @@
 )
 from stoneyoke.storage.record_store import StorageError
 
+START_RETRY_S = 0.5  # a new disk that refuses is tried again
 WAITING_MOST = 64  # writes that wait for a disk that hangs; more are refused at once
 
 Blocking = Callable[..., Awaitable[Any]]  # runs a function that may wait for the disk
@@ -80,11 +81,21 @@
                 accepted = initial_value(seeds)
             # The identity goes last: a start that ends before it is a start on an empty disk again.
             if accepted:
-                await self.blocking(self.store.keep, REGISTER, register_record(accepted))
-            await self.blocking(self.store.keep, IDENTITY, identity_record(identity))
+                await self.keep_at_last(REGISTER, register_record(accepted))
+            await self.keep_at_last(IDENTITY, identity_record(identity))
         self.identity = ReplicaId(self.address, identity)
         self.acceptor = Acceptor(promised or NO_BALLOT, accepted)
 
+    async def keep_at_last(self, family: str, record: Record) -> None:
+        """Written when this returns: without it this disk has no name, and nothing may rest on it."""
+        while True:
+            try:
+                await self.blocking(self.store.keep, family, record)
+                return
+            except StorageError as bad:
+                logger.error("disk: {}", bad)
+                await asyncio.sleep(START_RETRY_S)
+
     async def load_record(self, family: str, read: Callable[[Record], Any]) -> Any:
         record, wrong = await self.blocking(self.store.load, family)
         for what in wrong:
--- a/stoneyoke/gateway/instance_directory.py
+++ b/stoneyoke/gateway/instance_directory.py
@@ -6,7 +6,9 @@
 
 from dataclasses import dataclass, field
 
-from stoneyoke.controlplane.quorum import copies, majority
+from stoneyoke.controlplane.consensus import Accepted, Ballot, ReplicaId, VoterSet, newest_view
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.controlplane.register_rows import read_value
 from stoneyoke.controlplane.instance_registry import Phase, Row
 from stoneyoke.api.configuration import Version
 from stoneyoke.transport.messages import PullResponse
@@ -91,7 +93,7 @@
     def sweep(self, now: float) -> None:
         """Doubts, and what ends them; called now and then."""
         near = [one for one in self.near(now) if one.news and one.news.settled]
-        voters = len(self.crew())
+        voters = len(self.voters().members)
         if near and len(near) >= min(majority(voters or 1), voters or 1):
             for name, instance_known in list(self.known.items()):
                 heard = any(one.phases.get(name, Phase.SILENT) in (Phase.READY, Phase.DRAINING) for one in near)
@@ -117,10 +119,22 @@
         held = [name for name, one in self.sources.items() if one.news and Version(*one.news.stamp) >= version]
         return sorted(held, key=lambda name: (news := self.sources[name].news) is None or news.zone != zone)
 
-    def crew(self) -> tuple[str, ...]:
-        """Who votes, by the newest list told."""
-        told = [one.news for one in self.sources.values() if one.news and one.news.crew_number]
-        return tuple(max(told, key=lambda news: news.crew_number).crew) if told else ()
+    def views(self, now: float | None = None) -> dict[ReplicaId, Accepted]:
+        """What each controller, by its disk, last told of the register; now: only of those that are in touch and have
+        settled."""
+        told = [one for one in self.sources.values() if one.news]
+        if now is not None:
+            told = [one for one in told if now - one.heard_at < TOUCH_S and one.news and one.news.settled]
+        return {
+            ReplicaId(*one.news.replica): Accepted(Ballot(*one.news.view_ballot), read_value(one.news.view))
+            for one in told
+            if one.news
+        }
+
+    def voters(self) -> VoterSet:
+        """Who votes, by the newest value told."""
+        newest = max(self.views().values(), key=lambda view: view.ballot, default=None)
+        return newest.value.voters if newest else VoterSet()
 
     def newest(self) -> tuple[Version, str]:
         """The highest version that any core has told of, and who."""
@@ -129,20 +143,9 @@
 
     def caught_up(self, now: float) -> Version | None:
         """The version that is sure to be no older than what was acknowledged; None: too few voters are heard. They
-        have all records too: a drain is acknowledged once a majority of them knows."""
-        crew = self.crew()
-        heard = [
-            one.news
-            for name in crew
-            if (one := self.sources.get(name))
-            and one.news
-            and now - one.heard_at < TOUCH_S
-            and one.news.standing
-            and one.news.settled
-        ]
-        if not crew or len(heard) < copies(len(crew)):
-            return None
-        return max(Version(*news.stamp) for news in heard)
+        have all instances too: a drain is acknowledged once a majority of them knows."""
+        newest = newest_view(self.views(now))
+        return newest.value.version if newest else None
 
     def pilots(self, now: float) -> list[str]:
         """Gateways whose beats cores in touch have heard, sorted."""
--- a/stoneyoke/lab/simulation/__main__.py
+++ b/stoneyoke/lab/simulation/__main__.py
@@ -16,7 +16,7 @@
 
 from absl import app, flags
 
-from stoneyoke.lab.simulation import exhaustive
+
 from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS, seeded
 from stoneyoke.lab.simulation.plans import make_plan, read_plan, reduce
 from stoneyoke.lab.simulation.runs import count, sail, sail_many, sail_seed
--- a/stoneyoke/programs/controller.py
+++ b/stoneyoke/programs/controller.py
@@ -20,13 +20,13 @@
 LINGER_S = 0.3
 
 
-async def serve(settings: Settings, ring: LogBuffer) -> None:
+async def serve(settings: Settings, log_buffer: LogBuffer) -> None:
     if settings.control is None:
         raise BadSettings("network.binds.control_addr is missing")
     if not settings.data_dir:
-        raise BadSettings("self.data_dir is missing: the operator's word needs a disk")
+        raise BadSettings("self.data_dir is missing: the configuration needs a disk")
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
-    office = Controller(
+    controller = Controller(
         settings.name,
         settings.ip,
         settings.port,
@@ -38,34 +38,34 @@
         bounds=settings.bounds,
         losses=settings.losses,
     )
-    desk = HttpApi(office.call, settings.memory // BODY_PART)
-    station = PeerServer(office.meet)
+    http_api = HttpApi(controller.call, settings.memory // BODY_PART)
+    peer_server = PeerServer(controller.answer)
 
     def reload() -> None:
         try:
-            office.meet_core(*read_settings(SETTINGS.value).seeds)
+            controller.meet(*read_settings(SETTINGS.value).seeds)
         except BadSettings as bad:
             logger.error("reload: {}", bad)
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    loop.add_signal_handler(signal.SIGUSR1, ring.dump)
-    await office.start()
-    await station.open((settings.ip, settings.port))
-    await desk.open(settings.control)
-    logger.info("controller {} of {} voters", settings.name, len(office.word.crew.names))
+    loop.add_signal_handler(signal.SIGUSR1, log_buffer.dump)
+    await controller.start()
+    await peer_server.open((settings.ip, settings.port))
+    await http_api.open(settings.control)
+    logger.info("controller {} of {} voters", settings.name, len(controller.replica.voters().members))
     await ended.wait()
-    await office.leave(0.5 * settings.bounds["grace_s"])
-    desk.close()
+    await controller.leave(0.5 * settings.bounds["grace_s"])
+    http_api.close()
     await asyncio.sleep(LINGER_S)
-    station.close()
+    peer_server.close()
 
 
 def run(_: list[str]) -> None:
-    ring = set_up()
+    log_buffer = set_up()
     try:
-        asyncio.run(serve(read_settings(SETTINGS.value), ring))
+        asyncio.run(serve(read_settings(SETTINGS.value), log_buffer))
     except BadSettings as bad:
         print(f"controller: {bad}", file=sys.stderr)
         sys.exit(2)
--- a/stoneyoke/programs/stoneyokectl.py
+++ b/stoneyoke/programs/stoneyokectl.py
@@ -32,7 +32,7 @@
 IN_TOUCH_S = 3.0
 
 
-class BosunError(Exception):
+class CommandError(Exception):
     """What the operator is told in one line; the program ends with 1."""
 
 
@@ -41,18 +41,18 @@
         with open(path, "rb") as file:
             return read_configuration(file.read())
     except OSError as bad:
-        raise BosunError(f"{path} can't be read: {bad}") from bad
+        raise CommandError(f"{path} can't be read: {bad}") from bad
     except InvalidField as bad:
-        raise BosunError(f"{path}: {bad.path}: {bad.why}") from bad
+        raise CommandError(f"{path}: {bad.path}: {bad.why}") from bad
 
 
 def call(method: str, path: str, body: bytes = b"") -> bytes:
     """The answer of the first core that has one; tried again, unchanged, until the time is up."""
     if not CORES.value:
-        raise BosunError("--core names no address")
+        raise CommandError("--core names no address")
     for core in CORES.value:
         if why := addressed(core):
-            raise BosunError(f"--core: {why}")
+            raise CommandError(f"--core: {why}")
     until, last = time.monotonic() + WITHIN.value, "no core was asked"
     while time.monotonic() < until:
         for core in CORES.value:
@@ -71,9 +71,9 @@
                 return data
             last = f"{core}: {answer.status} {data.decode(errors='replace')[:300]}"
             if answer.status < 500:
-                raise BosunError(last)
+                raise CommandError(last)
         time.sleep(PAUSE_S)
-    raise BosunError(f"no answer in {WITHIN.value:g} s; last: {last}")
+    raise CommandError(f"no answer in {WITHIN.value:g} s; last: {last}")
 
 
 def say(lines: list[str], whole: Any) -> None:
@@ -145,15 +145,16 @@
         f"{seen['name']} at {seen['address']}: {seen['version']}, "
         f"{'votes' if seen['votes'] else 'does not vote'}, "
         f"{'in touch' if seen['in_touch'] else 'NOT in touch'} with most voters",
-        f"crew {seen['crew']['number']}: {', '.join(seen['crew']['voters'])}; quotas kept by {seen['keeper'] or '-'}",
+        f"voters {seen['voters']['number']}: {', '.join(seen['voters']['members'])}; "
+        f"lease of the quotas: {seen['keeper'] or '-'}",
     ]
     lines += [
-        f"core {name}: {core['version']}, {'votes' if core['votes'] else 'no vote'}, silent {core['silent_s']} s"
-        for name, core in seen["cores"].items()
+        f"controller {name}: {controller['version']}, {'votes' if controller['votes'] else 'no vote'}, silent {controller['silent_s']} s"
+        for name, controller in seen["controllers"].items()
     ]
     lines += [
-        f"pilot {name}: {pilot['version']}, {'ready' if pilot['ready'] else 'not ready'}, silent {pilot['silent_s']} s"
-        for name, pilot in sorted(seen["pilots"].items())
+        f"gateway {name}: {one['version']}, {'ready' if one['ready'] else 'not ready'}, silent {one['silent_s']} s"
+        for name, one in sorted(seen["gateways"].items())
     ]
     lines += [
         f"backend {name}: {record['service']} at {record['address']}, {record['phase']}, silent {record['silent_s']} s"
@@ -165,23 +166,23 @@
 def watch(version: str) -> None:
     match = NUMBER(version)
     if not match:
-        raise BosunError(f"{version!r} is not r and a number")
+        raise CommandError(f"{version!r} is not r and a number")
     until, late = time.monotonic() + WITHIN.value, ["no gateway is known"]
     while time.monotonic() < until:
-        pilots = view()["pilots"]
-        near = {name: one for name, one in pilots.items() if one["silent_s"] < IN_TOUCH_S}
+        gateways = view()["gateways"]
+        near = {name: one for name, one in gateways.items() if one["silent_s"] < IN_TOUCH_S}
         late = [name for name, one in near.items() if int(one["version"][1:]) < int(match[1])]
         if near and not late:
             return say(
                 [f"{version} is at all {len(near)} gateways in touch"], {"version": version, "gateways": len(near)}
             )
         time.sleep(PAUSE_S)
-    raise BosunError(f"{version} is not yet at: {', '.join(sorted(late))}")
+    raise CommandError(f"{version} is not yet at: {', '.join(sorted(late))}")
 
 
 def hold(folder: str) -> None:
     if not os.path.isdir(folder):
-        raise BosunError(f"{folder} is no folder")
+        raise CommandError(f"{folder} is no folder")
     store = RecordStore(folder)
     lines, whole = [], []
     for family, number, name in sorted(store.files()):
@@ -221,7 +222,7 @@
         sys.exit(2)
     try:
         job(*words[2:])
-    except BosunError as bad:
+    except CommandError as bad:
         print(f"stoneyokectl: {bad}", file=sys.stderr)
         sys.exit(1)
 
