--- a/stoneyoke/programs/settings.py
+++ b/stoneyoke/programs/settings.py
@@ -70,6 +70,7 @@
                     Setting("contact_s", float, 3.0, above(0)),
                     Setting("drain_s", float, 2.5, above(0)),
                     Setting("grace_s", float, 6.0, above(0)),
+                    Setting("catch_up_s", float, 4.0, above(0)),
                     Setting("apply_s", float, 2.5, above(0)),
                     Setting("retry_ratio", float, 0.2, at_least(0)),
                     Setting("retry_window_s", float, 10.0, above(0)),
