Controllers' tests on the consensus register: conflicts, lost answers, exchanges, long histories

Change: tests of the old register's parts replaced by those of the new one (verdicts, next voters, records, readiness by views); 21 stories of whole controllers, among them three machines wiped nine times and exchanged six times at 4 s.

--- a/stoneyoke/api/calls.py
+++ b/stoneyoke/api/calls.py
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplaceConfiguration:
-    chart: Configuration
+    configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/controller_cluster.py
+++ b/tests/system/controller_cluster.py
@@ -1,4 +1,4 @@
-"""Offices of the control plane without sockets: wires that call one another's, a disk in memory, a clock by hand."""
+"""Controllers without sockets: wires that call one another's, a disk in memory, a clock by hand."""
 
 import asyncio
 
@@ -7,7 +7,7 @@
 from stoneyoke.transport.messages import pack, unpack
 from stoneyoke.transport.peers import PeerUnreachable
 
-BOUNDS = {"quota_slack": 20.0, "quota_excess": 0.1, "quota_window_s": 5.0}
+BOUNDS = {"catch_up_s": 4.0, "quota_slack": 20.0, "quota_excess": 0.1, "quota_window_s": 5.0}
 
 
 class SimulatedLoop(asyncio.SelectorEventLoop):
@@ -47,19 +47,29 @@
         return self.records.get(family), []
 
 
-class Harbour:
+class Cluster:
     """Cores by address. cuts: pairs that don't hear each other; down: those that are off."""
 
     def __init__(self, count=3, seeds=3, losses=1):
         self.names = [f"10.0.0.{at}" for at in range(1, count + 1)]
         self.seeds, self.losses = tuple(self.names[:seeds]), losses
         self.disks = {name: Disk() for name in self.names}
-        self.offices, self.cuts, self.down = {}, set(), set()
+        self.controllers, self.cuts, self.down = {}, set(), set()
         self.lost = {}  # kinds of messages that are lost, by receiver
+        self.carried = {}  # messages, by kind
+        self.cutting = None  # (address, kind): cut off once it has sent such a message
+
+    def add(self, name):
+        """A machine that was not there before, with an empty disk."""
+        self.names.append(name)
+        self.disks[name] = Disk()
+
+    def cut_after(self, name, kind):
+        self.cutting = (name, kind)
 
     async def start(self, name, first=False):
         self.down.discard(name)
-        office = Controller(
+        controller = Controller(
             name,
             name,
             1,
@@ -73,10 +83,10 @@
             clock=asyncio.get_running_loop().time,
             dial=self.wire(name),
         )
-        office.blocking = self.blocking
-        self.offices[name] = office
-        await office.start()
-        return office
+        controller.blocking = self.blocking
+        await controller.start()
+        self.controllers[name] = controller
+        return controller
 
     async def blocking(self, work, *args):
         await asyncio.sleep(0)
@@ -84,28 +94,32 @@
 
     def stop(self, name):
         self.down.add(name)
-        for task in list(self.offices.pop(name).tasks):
+        for task in list(self.controllers.pop(name).tasks):
             task.cancel()
 
     def wire(self, own):
-        town = self
+        cluster = self
 
         class PeerClient:
             def __init__(self, address):
                 self.address = address
 
             async def call(self, message, within_s):
-                other = self.address[0]
+                other, kind = self.address[0], type(message).__name__
+                cluster.carried[kind] = cluster.carried.get(kind, 0) + 1
                 await asyncio.sleep(0)
                 if (
-                    other in town.down
-                    or other not in town.offices
-                    or {own, other} in town.cuts
-                    or (type(message).__name__ in town.lost.get(other, ()))
+                    other in cluster.down
+                    or other not in cluster.controllers
+                    or {own, other} in cluster.cuts
+                    or (kind in cluster.lost.get(other, ()))
                 ):
                     raise PeerUnreachable(other)
-                answer = await town.offices[other].meet(unpack(pack(1, message)[4:])[1])
-                if {own, other} in town.cuts or own in town.down:
+                answer = await cluster.controllers[other].answer(unpack(pack(1, message)[4:])[1])
+                if cluster.cutting == (own, kind):
+                    cluster.cutting = None
+                    cluster.cut(own)
+                if {own, other} in cluster.cuts or own in cluster.down:
                     raise PeerUnreachable(other)
                 return unpack(pack(1, answer)[4:])[1]
 
@@ -121,17 +135,17 @@
 
 
 def run(play, **kind):
-    """Plays a story with a harbour whose offices all have started for the first time."""
-    harbour = Harbour(**kind)
+    """Plays a story with a cluster whose controllers all have started for the first time."""
+    cluster = Cluster(**kind)
 
     async def story():
         try:
-            for name in harbour.names:
-                await harbour.start(name, first=True)
-            await play(harbour)
+            for name in cluster.names:
+                await cluster.start(name, first=True)
+            await play(cluster)
         finally:
-            for name in list(harbour.offices):
-                harbour.stop(name)
+            for name in list(cluster.controllers):
+                cluster.stop(name)
 
     loop = SimulatedLoop()
     try:
--- a/tests/system/test_controller.py
+++ b/tests/system/test_controller.py
@@ -5,17 +5,19 @@
 from controller_cluster import run
 from ward import test
 
-from stoneyoke.controlplane.voter_set import Reply, change, to_propose
+from stoneyoke.api.calls import Acknowledged, Document, ReadConfiguration, Rejected, Unavailable, ask
+from stoneyoke.controlplane.consensus import FIRST_DISK
 from stoneyoke.controlplane.instance_registry import Phase
-from stoneyoke.controlplane.replica import VoterSet, Replica
-from stoneyoke.api.calls import Acknowledged, ReadConfiguration, Rejected, Unavailable, Document, ask
-from stoneyoke.api.configuration import read_configuration
 
 
 def put(number, change=None):
     return ask("POST", "/config/replace", example(number, change))
 
 
+def other_content(configuration):
+    configuration.update(limits=None)
+
+
 def beat(seq=1, phase="ready", instance="i-1"):
     return ask(
         "POST",
@@ -30,240 +32,380 @@
     )
 
 
-async def touch(harbour):
-    await harbour.until(lambda: all(one.in_touch() for one in harbour.offices.values()))
+async def touch(cluster):
+    await cluster.until(lambda: all(one.in_touch() for one in cluster.controllers.values()))
+
+
+def voters(cluster, name="10.0.0.2"):
+    return cluster.controllers[name].replica.voters()
 
 
-@test("a configuration acknowledged by one core is read back at every other, also after all lost power")
+def lease_holders(cluster):
+    return [name for name, one in cluster.controllers.items() if one.lease.holds()]
+
+
+@test("a configuration acknowledged by one controller is read back at every other, also after all lost power")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        assert await harbour.offices["10.0.0.1"].call(put(5)) == Acknowledged()
-        assert await harbour.offices["10.0.0.2"].call(ReadConfiguration()) == Document(example(5))
-        assert (
-            sum(
-                read_configuration(disk.records["word"][b"body"]).version.number == 5
-                for disk in harbour.disks.values()
-                if "word" in disk.records
-            )
-            >= 2
-        )
-        for name in harbour.names:
-            harbour.stop(name)
-        for name in harbour.names:
-            await harbour.start(name)
-        await touch(harbour)
-        assert await harbour.offices["10.0.0.3"].call(ReadConfiguration()) == Document(example(5))
+    async def play(cluster):
+        await touch(cluster)
+        assert await cluster.controllers["10.0.0.1"].call(put(5)) == Acknowledged()
+        assert await cluster.controllers["10.0.0.2"].call(ReadConfiguration()) == Document(example(5))
+        assert sum(disk.records["register"][b"body"] == example(5) for disk in cluster.disks.values()) >= 2
+        for name in cluster.names:
+            cluster.stop(name)
+        for name in cluster.names:
+            await cluster.start(name)
+        await touch(cluster)
+        assert await cluster.controllers["10.0.0.3"].call(ReadConfiguration()) == Document(example(5))
 
     run(play)
 
 
 @test("before anything was put there is nothing to read, and that is said as such")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        assert isinstance(await harbour.offices["10.0.0.1"].call(ReadConfiguration()), Rejected)
+    async def play(cluster):
+        await touch(cluster)
+        assert isinstance(await cluster.controllers["10.0.0.1"].call(ReadConfiguration()), Rejected)
 
     run(play)
 
 
 @test("an older version, and the same one again, are acknowledged and change nothing")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        one = harbour.offices["10.0.0.1"]
+    async def play(cluster):
+        await touch(cluster)
+        one = cluster.controllers["10.0.0.1"]
         assert await one.call(put(9)) == Acknowledged() and await one.call(put(9)) == Acknowledged()
-        assert await harbour.offices["10.0.0.2"].call(put(4)) == Acknowledged()
+        assert await cluster.controllers["10.0.0.2"].call(put(4)) == Acknowledged()
         assert await one.call(ReadConfiguration()) == Document(example(9))
 
     run(play)
 
 
-@test("two operators at two cores at once: all end with the higher one, and with one text under one number")
+@test("two operators at two controllers at once: all end with the higher one")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        one, other = harbour.offices["10.0.0.1"], harbour.offices["10.0.0.2"]
+    async def play(cluster):
+        await touch(cluster)
+        one, other = cluster.controllers["10.0.0.1"], cluster.controllers["10.0.0.2"]
         await asyncio.gather(one.call(put(6)), other.call(put(7)))
         assert await one.call(ReadConfiguration()) == await other.call(ReadConfiguration()) == Document(example(7))
-        await asyncio.gather(one.call(put(8)), other.call(put(8, lambda c: c.update(limits=None))))
-        await harbour.until(lambda: len({o.word.version for o in harbour.offices.values()}) == 1)
-        assert await one.call(ReadConfiguration()) == await other.call(ReadConfiguration())
 
     run(play)
 
 
-@test("a core that is cut off acknowledges nothing and says so at once; the others go on")
+@test("two contents under one number: one is acknowledged, the other conflicts, at every controller and for ever")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        one, other = cluster.controllers["10.0.0.1"], cluster.controllers["10.0.0.2"]
+        said = await asyncio.gather(one.call(put(8)), other.call(put(8, other_content)))
+        assert sorted(type(answer).__name__ for answer in said) == ["Acknowledged", "Rejected"]
+        rejected = next(answer for answer in said if isinstance(answer, Rejected))
+        assert rejected.status == 409
+        first, second = (
+            (put(8), put(8, other_content)) if said[0] == Acknowledged() else (put(8, other_content), put(8))
+        )
+        for controller in cluster.controllers.values():
+            assert await controller.call(first) == Acknowledged()
+            assert isinstance(await controller.call(second), Rejected)
+            assert await controller.call(ReadConfiguration()) == Document(first.configuration.body)
+
+    run(play)
+
+
+@test("an order whose answer was lost is acknowledged when it is sent again, to any controller, also after later ones")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        harbour.cut("10.0.0.1")
-        alone = harbour.offices["10.0.0.1"]
-        await harbour.until(lambda: not alone.in_touch())
+    async def play(cluster):
+        await touch(cluster)
+        cluster.lost = {name: ("AcceptRequest",) for name in cluster.names}
+        assert isinstance(await cluster.controllers["10.0.0.1"].call(put(5)), Unavailable)
+        cluster.lost = {}
+        for name in ("10.0.0.2", "10.0.0.3", "10.0.0.1"):
+            assert await cluster.controllers[name].call(put(5)) == Acknowledged()
+        assert await cluster.controllers["10.0.0.2"].call(put(6)) == Acknowledged()
+        for controller in cluster.controllers.values():
+            assert await controller.call(put(5)) == Acknowledged()
+            assert await controller.call(ReadConfiguration()) == Document(example(6))
+
+    run(play)
+
+
+@test("an order that its controller left half way is settled by the others, and no other content takes its number")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        proposer, other = cluster.controllers["10.0.0.1"], cluster.controllers["10.0.0.2"]
+        cluster.lost = {"10.0.0.2": ("AcceptRequest",), "10.0.0.3": ("AcceptRequest",)}
+        assert isinstance(await proposer.call(put(5)), Unavailable)
+        cluster.lost = {}
+        assert isinstance(await other.call(put(5, other_content)), Rejected)
+        assert await other.call(ReadConfiguration()) == Document(example(5))
+
+    run(play)
+
+
+@test("a controller that is cut off acknowledges nothing and says so at once; the others go on")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        cluster.cut("10.0.0.1")
+        alone = cluster.controllers["10.0.0.1"]
+        await cluster.until(lambda: not alone.in_touch())
         began = alone.clock()
         for asked in (put(5), beat(), beat(2, "draining")):
             assert isinstance(await alone.call(asked), Unavailable)
+        assert not alone.lease.holds()
         assert alone.clock() - began < 0.1
-        assert await harbour.offices["10.0.0.2"].call(put(5)) == Acknowledged()
-        harbour.cuts = set()
-        await harbour.until(lambda: alone.word.version.number == 5)
+        assert await cluster.controllers["10.0.0.2"].call(put(5)) == Acknowledged()
+        cluster.cuts = set()
+        await cluster.until(lambda: alone.replica.version().number == 5)
 
     run(play)
 
 
 @test("a disk that refuses does not count; the majority does without it")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        harbour.disks["10.0.0.1"].refuses = True
-        assert await harbour.offices["10.0.0.1"].call(put(5)) == Acknowledged()
-        assert harbour.offices["10.0.0.1"].word.version.number == 0
-        harbour.disks["10.0.0.2"].refuses = True
-        assert isinstance(await harbour.offices["10.0.0.3"].call(put(6)), Unavailable)
+    async def play(cluster):
+        await touch(cluster)
+        cluster.disks["10.0.0.1"].refuses = True
+        assert await cluster.controllers["10.0.0.1"].call(put(5)) == Acknowledged()
+        assert cluster.disks["10.0.0.1"].records["register"][b"body"] == b""
+        cluster.disks["10.0.0.2"].refuses = True
+        assert isinstance(await cluster.controllers["10.0.0.3"].call(put(6)), Unavailable)
 
     run(play)
 
 
-@test("an empty disk does not vote before it has copied from both others")
+@test("a machine whose disk is empty is another member: what only it and one other held is still what is read")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        harbour.stop("10.0.0.3")
-        assert await harbour.offices["10.0.0.1"].call(put(5)) == Acknowledged()
-        harbour.stop("10.0.0.2")  # held by 1 and 2 alone; 1 loses its disk
-        harbour.stop("10.0.0.1")
-        harbour.disks["10.0.0.1"].records.clear()
-        wiped = await harbour.start("10.0.0.1")
-        await harbour.start("10.0.0.3")
-        await harbour.until(lambda: wiped.word.crew.number == 1)
-        await asyncio.sleep(0.05)
-        assert not wiped.word.standing
-        assert isinstance(await wiped.call(ReadConfiguration()), Unavailable) and isinstance(
-            await wiped.call(put(4)), Unavailable
-        )
-        await harbour.start("10.0.0.2")
-        await harbour.until(lambda: wiped.word.standing)
-        assert wiped.word.version.number == 5
+    async def play(cluster):
+        await touch(cluster)
+        cluster.stop("10.0.0.3")
+        assert await cluster.controllers["10.0.0.1"].call(put(5)) == Acknowledged()
+        cluster.stop("10.0.0.2")  # held by 1 and 2 alone; 1 loses its disk
+        cluster.stop("10.0.0.1")
+        cluster.disks["10.0.0.1"].records.clear()
+        wiped = await cluster.start("10.0.0.1")
+        await cluster.start("10.0.0.3")
+        await asyncio.sleep(5)
+        assert not wiped.replica.votes() and wiped.replica.identity.disk != FIRST_DISK
+        for asked in (ReadConfiguration(), put(4), put(9)):
+            assert isinstance(await wiped.call(asked), Unavailable)
+            assert isinstance(await cluster.controllers["10.0.0.3"].call(asked), Unavailable)
+        await cluster.start("10.0.0.2")
+        await cluster.until(wiped.replica.votes)
         assert await wiped.call(ReadConfiguration()) == Document(example(5))
+        assert voters(cluster).number == 2 and wiped.replica.identity in voters(cluster).members
+
+    run(play)
+
+
+@test("a machine that lost its disk votes again within the operators' bound, so that the next loss leaves a majority")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        for number, name in enumerate(cluster.names * 3, 5):
+            others = [other for other in cluster.names if other != name]
+            cluster.stop(name)
+            cluster.disks[name].records.clear()
+            assert await cluster.controllers[others[0]].call(put(number)) == Acknowledged()
+            again = await cluster.start(name)
+            await asyncio.sleep(4.0)
+            assert again.replica.votes()
+            assert await again.call(ReadConfiguration()) == Document(example(number))
 
     run(play)
 
 
+@test(
+    "a machine exchanged for an empty one at another address is replaced as a voter within the bound, one after another"
+)
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        present = list(cluster.names)
+        for number in range(5, 11):
+            gone, new = present.pop(0), f"10.0.0.{number + 10}"
+            cluster.stop(gone)
+            await asyncio.sleep(1.0)
+            cluster.add(new)
+            cluster.seeds = tuple(present)  # the operator's list as it is now
+            await cluster.start(new)
+            present.append(new)
+            await asyncio.sleep(4.0)
+            assert {*voters(cluster, new).addresses()} == {*present}
+            assert await cluster.controllers[new].call(put(number)) == Acknowledged()
+        assert len(present) == 3
+
+    run(play)
+
+
+@test("a voter that was replaced while it was cut off decides nothing when it is back, nor with its old friends")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        await cluster.until(lambda: lease_holders(cluster))
+        cluster.cut("10.0.0.1")
+        await cluster.until(lambda: "10.0.0.4" in voters(cluster).addresses())
+        assert await cluster.controllers["10.0.0.2"].call(put(5)) == Acknowledged()
+        old = cluster.controllers["10.0.0.1"]
+        assert "10.0.0.1" in old.replica.voters().addresses()  # it cannot know
+        assert isinstance(await old.call(put(6)), Unavailable) and isinstance(
+            await old.call(ReadConfiguration()), Unavailable
+        )
+        cluster.cuts = [{"10.0.0.1", "10.0.0.2"}, {"10.0.0.1", "10.0.0.4"}]  # with an old friend alone
+        await cluster.until(lambda: old.replica.version().number == 5)
+        assert not old.replica.votes()
+        assert isinstance(await old.call(put(6)), Unavailable)  # it reaches one of three voters
+        cluster.cuts = []
+        await touch(cluster)
+        assert await old.call(put(6)) == Acknowledged()
+
+    run(play, count=4)
+
+
 @test("a drain is acknowledged once a majority knows it, and survives the core that acknowledged it")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        one = harbour.offices["10.0.0.1"]
+    async def play(cluster):
+        await touch(cluster)
+        one = cluster.controllers["10.0.0.1"]
         assert await one.call(beat()) == Acknowledged()
         assert await one.call(beat(2, "draining")) == Acknowledged()
         know = [
             name
-            for name, office in harbour.offices.items()
-            if office.register.records.get("i-1") and office.register.records["i-1"].row.phase == Phase.DRAINING
+            for name, office in cluster.controllers.items()
+            if office.discovery.registry.records.get("i-1")
+            and office.discovery.registry.records["i-1"].row.phase == Phase.DRAINING
         ]
         assert len(know) >= 2
-        harbour.lost = {name: ("InstanceUpdate",) for name in harbour.names}
+        cluster.lost = {name: ("InstanceUpdate",) for name in cluster.names}
         assert isinstance(await one.call(ask("POST", "/instances/i-1/leave", b"")), Unavailable)
 
     run(play)
 
 
-@test("a core that starts again hears of drains from the others before it calls itself settled")
+@test("a controller that starts again hears of drains from the others before it calls itself settled")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        assert await harbour.offices["10.0.0.1"].call(beat(2, "draining")) == Acknowledged()
-        harbour.stop("10.0.0.1")
-        again = await harbour.start("10.0.0.1")
-        assert not again.settled()
-        await harbour.until(again.settled)
-        assert again.register.records["i-1"].row.phase == Phase.DRAINING
+    async def play(cluster):
+        await touch(cluster)
+        assert await cluster.controllers["10.0.0.1"].call(beat(2, "draining")) == Acknowledged()
+        cluster.stop("10.0.0.1")
+        again = await cluster.start("10.0.0.1")
+        assert not again.discovery.settled()
+        await cluster.until(again.discovery.settled)
+        assert again.discovery.registry.records["i-1"].row.phase == Phase.DRAINING
 
     run(play)
 
 
-@test("one core holds the duty of the quotas; when it is cut off another one does, not before its lease has ended")
+@test(
+    "one controller holds the duty of the quotas; when it is cut off another one does, not before its lease has ended"
+)
 def _():
-    async def play(harbour):
+    async def play(cluster):
         def holders():
-            return [name for name, one in harbour.offices.items() if one.tenure.holds(one.clock())]
+            return lease_holders(cluster)
 
-        await harbour.until(holders)
+        await cluster.until(holders)
         first = holders()[0]
-        harbour.cut(first)
+        cluster.cut(first)
         seen = []
-        await harbour.until(lambda: seen.append(tuple(holders())) or seen[-1] not in ((), (first,)))
+        await cluster.until(lambda: seen.append(tuple(holders())) or seen[-1] not in ((), (first,)))
         assert all(len(one) <= 1 for one in seen)
 
     run(play)
 
 
-@test("five cores that are to bear two losses: those that were no seeds are made voters, one after the other")
+@test("five controllers that are to bear two losses: those that were no seeds are made voters")
 def _():
-    async def play(harbour):
-        await harbour.until(
-            lambda: all(len(one.word.crew.names) == 5 and one.word.votes() for one in harbour.offices.values())
-        )
-        assert {one.word.crew.number for one in harbour.offices.values()} == {3}
-        await touch(harbour)
-        harbour.stop("10.0.0.1")
-        harbour.stop("10.0.0.2")
-        assert await harbour.offices["10.0.0.3"].call(put(5)) == Acknowledged()
+    async def play(cluster):
+        await cluster.until(lambda: all(len(one.replica.voters().members) == 5 for one in cluster.controllers.values()))
+        assert {one.replica.voters().number for one in cluster.controllers.values()} == {2}
+        await touch(cluster)
+        cluster.stop("10.0.0.1")
+        cluster.stop("10.0.0.2")
+        assert await cluster.controllers["10.0.0.3"].call(put(5)) == Acknowledged()
 
     run(play, count=5, losses=2)
 
 
-ABC = VoterSet(4, ("a", "b", "c"))
-
-
-@test("a core that is told to end hands its vote to one that has none, and holds nobody up where there is none")
+@test("a controller that is told to end hands its vote to one that has none, and holds nobody up where there is none")
 def _():
-    async def play(harbour):
-        await touch(harbour)
-        leaver = harbour.offices["10.0.0.1"]
-        await harbour.until(lambda: any(one.tenure.holds(one.clock()) for one in harbour.offices.values()))
+    async def play(cluster):
+        await touch(cluster)
+        leaver = cluster.controllers["10.0.0.1"]
+        await cluster.until(lambda: lease_holders(cluster))
         await asyncio.sleep(3)
         await leaver.leave(3.0)
-        assert leaver.word.crew.names == ("10.0.0.2", "10.0.0.3", "10.0.0.4")
-        await harbour.until(lambda: harbour.offices["10.0.0.4"].word.votes())
-
-    async def alone(harbour):
-        await touch(harbour)
+        assert voters(cluster).addresses() == ("10.0.0.2", "10.0.0.3", "10.0.0.4")
+        await cluster.until(cluster.controllers["10.0.0.4"].replica.votes)
+        cluster.stop("10.0.0.1")
+        cluster.stop("10.0.0.2")
+        assert await cluster.controllers["10.0.0.3"].call(put(5)) == Acknowledged()
+
+    async def alone(cluster):
+        await touch(cluster)
         begun = asyncio.get_running_loop().time()
-        await harbour.offices["10.0.0.1"].leave(3.0)
+        await cluster.controllers["10.0.0.1"].leave(3.0)
         assert asyncio.get_running_loop().time() == begun
-        assert "10.0.0.1" in harbour.offices["10.0.0.2"].word.crew.names
+        assert "10.0.0.1" in voters(cluster).addresses()
 
     run(play, count=4)
     run(alone)
 
 
-@test("a voter lost for long is replaced by a core that is steady: first added, then the lost one goes")
+@test("a change of voters whose proposer is cut off after any message is settled by the others, and orders go on")
 def _():
-    assert change(ABC, {"a": 40.0}, {}, 3) == ABC.names
-    assert change(ABC, {"a": 20.0}, {"d": 9.0}, 3) == ABC.names
-    more = change(ABC, {"a": 40.0}, {"d": 9.0}, 3)
-    assert more == ("a", "b", "c", "d")
-    assert change(VoterSet(5, more), {"a": 40.0}, {}, 3) == ("b", "c", "d")
-    assert change(VoterSet(5, more), {"a": 40.0, "b": 9.0, "c": 9.0}, {}, 3) == more  # the rest has no majority
-
-
-@test("a list that may be decided already is taken on by whoever ends the change")
+    async def play(cluster, kind):
+        await touch(cluster)
+        await cluster.until(lambda: lease_holders(cluster))
+        assert await cluster.controllers["10.0.0.1"].call(put(5)) == Acknowledged()
+        holder = lease_holders(cluster)[0]
+        gone = next(name for name in cluster.names[:3] if name != holder)
+        cluster.stop(gone)
+        cluster.cut_after(holder, kind)
+        await cluster.until(lambda: cluster.cuts)
+        rest = [name for name in cluster.names if name not in (gone, holder)]
+        await asyncio.sleep(3.0)
+        cluster.cuts = []  # it is back
+        await cluster.until(lambda: len({one.replica.voters() for one in cluster.controllers.values()}) == 1)
+        await touch(cluster)
+        assert await cluster.controllers[rest[0]].call(put(6)) == Acknowledged()
+        await cluster.until(lambda: "10.0.0.4" in voters(cluster, rest[0]).addresses())
+
+    for kind in ("PrepareRequest", "AcceptRequest", "ChosenNotice"):
+        run(lambda cluster, kind=kind: play(cluster, kind), count=4)
+
+
+@test("after hundreds of changes a member that was away holds the newest value in one step, and little else")
 def _():
-    half = Reply(True, ABC, (2, "b"), ((2, "b"), ("a", "b", "c", "d")))
-    later = Reply(True, ABC, (3, "c"), ((3, "c"), ("a", "b")))
-    assert to_propose(("x",), [Reply(True, ABC, (1, "a"), None), half]) == ("a", "b", "c", "d")
-    assert to_propose(("x",), [half, later]) == ("a", "b")
-    assert to_propose(("x",), [Reply(False, ABC, (2, "b"), half.pending)]) == ("x",)
+    async def play(cluster):
+        await touch(cluster)
+        cluster.stop("10.0.0.3")
+        for number in range(1, 301):
+            assert await cluster.controllers["10.0.0.1"].call(put(number)) == Acknowledged()
+        asked = cluster.carried.get("ValueRequest", 0)
+        again = await cluster.start("10.0.0.3")
+        assert again.replica.chosen is None and not again.lease.holds()
+        await cluster.until(lambda: again.replica.version().number == 300)
+        assert cluster.carried.get("ValueRequest", 0) - asked <= 4
+        assert sum(len(part) for part in cluster.disks["10.0.0.3"].records["register"].values()) < 2 * len(example(300))
+
+    run(play)
 
 
-@test("who has accepted a list votes no more until it is sure, and promises hold against older rounds")
+@test("a new disk that refuses is tried again until it takes its name")
 def _():
-    word = Replica("a")
-    word.found(ABC, True, read_configuration(example(3)).version, example(3))
-    assert word.promise(5, (2, "b")) and not word.promise(5, (1, "c")) and not word.promise(6, (9, "b"))
-    assert not word.accept(5, (1, "c"), ("a",)) and word.accept(5, (2, "b"), ("a", "b", "c", "d"))
-    assert not word.votes() and word.member()
-    assert word.sure(VoterSet(5, ("a", "b", "c", "d"))) and word.votes() and not word.sure(ABC)
-    assert word.sure(VoterSet(6, ("b", "c", "d"))) and not word.votes()
-    assert word.sure(VoterSet(7, ("a", "b", "c"))) and not word.votes()  # it copies first
+    async def play(cluster):
+        await touch(cluster)
+        cluster.stop("10.0.0.3")
+        cluster.disks["10.0.0.3"].records.clear()
+        cluster.disks["10.0.0.3"].refuses = True
+        starting = asyncio.ensure_future(cluster.start("10.0.0.3"))
+        await asyncio.sleep(2)
+        assert not starting.done()
+        cluster.disks["10.0.0.3"].refuses = False
+        again = await starting
+        await cluster.until(again.replica.votes)
+
+    run(play)
--- a/tests/system/test_controlplane.py
+++ b/tests/system/test_controlplane.py
@@ -1,25 +1,31 @@
 import random
 
+from configurations import example
 from ward import test
 
+from stoneyoke.api.calls import Acknowledged, Rejected
+from stoneyoke.api.configuration import Version, read_configuration
+from stoneyoke.controlplane.configuration_service import applied, verdict
+from stoneyoke.controlplane.consensus import Accepted, Ballot, RegisterValue, ReplicaId, VoterSet
+from stoneyoke.controlplane.heartbeat_ring import watchers
+from stoneyoke.controlplane.instance_registry import InstanceRegistry, Phase, Row
 from stoneyoke.controlplane.leases import STOP, TTL_S, LeaseGranter, LeaseHolder
 from stoneyoke.controlplane.quorum import copies, majority
-from stoneyoke.controlplane.instance_registry import Phase, InstanceRegistry, Row
-from stoneyoke.controlplane.heartbeat_ring import watchers
-from stoneyoke.controlplane.replica import VoterSet, ReplicaStatus, Replica
-from stoneyoke.api.configuration import Version
-
-ABC = VoterSet(1, ("a", "b", "c"))
+from stoneyoke.controlplane.record_formats import (
+    promise_record,
+    read_old_records,
+    read_promise,
+    read_register,
+    register_record,
+)
+from stoneyoke.controlplane.voter_set import MemberReport, next_members
 
+A, B, C, D, E = (ReplicaId(name, "first") for name in "abcde")
+LOST_S = 2.0
 
-def core(own, number=0, standing=True, crew=ABC):
-    word = Replica(own)
-    word.found(crew, standing, Version(number), b"x" if number else b"")
-    return word
 
-
-def votes(**numbers):
-    return {name: ReplicaStatus(Version(number), ABC, True) for name, number in numbers.items()}
+def report(silent=None, leaving=(), learners=()):
+    return MemberReport(silent or {}, frozenset(leaving), tuple(learners))
 
 
 @test("of copies(n) voters one holds what majority(n) acknowledged; one fewer may miss it")
@@ -28,59 +34,69 @@
         assert majority(n) + copies(n) == n + 1
 
 
-@test("a configuration is acknowledged once a majority of the voters holds it")
-def _():
-    word = core("a", 5)
-    assert not word.kept(Version(5), {}) and not word.kept(Version(5), votes(b=4))
-    assert word.kept(Version(5), votes(b=6)) and word.kept(Version(5), votes(b=1, c=5))
+def ordered(number, change=None):
+    return read_configuration(example(number, change))
 
 
-@test("who does not vote, or votes in another crew, counts for nothing")
+@test("the highest number ordered wins, an older one changes nothing, and one number keeps its first content")
 def _():
-    word = core("a", 5)
-    assert not word.kept(Version(5), {"b": ReplicaStatus(Version(5), ABC, False)})
-    assert not word.kept(Version(5), {"b": ReplicaStatus(Version(5), VoterSet(2, ABC.names), True)})
-    assert not word.kept(Version(5), {"x": ReplicaStatus(Version(5), ABC, True)})
-    assert not core("d", 5).kept(Version(5), votes(b=5))
-
-
-@test("an empty disk does not vote until it has copied from enough others, its own copy aside")
+    found = RegisterValue(VoterSet(1, (A, B, C)), version=ordered(5).version, body=example(5))
+    other = ordered(5, lambda c: c.update(limits=None))
+    assert applied((ordered(4), other), found) is found
+    assert applied((ordered(7), ordered(6)), found).version == ordered(7).version
+    first, second = ordered(8), ordered(8, lambda c: c.update(limits=None))
+    assert applied((first, second), found).body == first.body
+    assert applied((second, first), found).body == second.body
+
+
+@test(
+    "an order sent again is acknowledged, one that is overtaken too, and only another content of its number conflicts"
+)
 def _():
-    wiped = core("a", 0, standing=False)
-    assert not wiped.may_stand(votes(b=3))  # c may hold what a and c had acknowledged
-    assert not wiped.may_stand(votes(b=3, c=4))
-    wiped.hold(Version(4), b"x")
-    assert wiped.may_stand(votes(b=3, c=4))
-    assert not wiped.may_stand(votes(b=3)) and not wiped.may_stand(
-        {**votes(b=3), "x": ReplicaStatus(Version(9), ABC, True)}
-    )
+    chosen = RegisterValue(VoterSet(1, (A, B, C)), version=ordered(5).version, body=example(5))
+    assert verdict(ordered(5), chosen) == Acknowledged() == verdict(ordered(4), chosen)
+    conflict = verdict(ordered(5, lambda c: c.update(limits=None)), chosen)
+    assert isinstance(conflict, Rejected) and conflict.status == 409 and conflict.path == "generation"
+    assert verdict(ordered(6), chosen) is None
 
 
-@test("five voters: an empty one needs three others")
+@test("a voter that is silent, leaves or lost its disk gives its place to a learner, and to nobody else")
 def _():
-    five = VoterSet(1, tuple("abcde"))
-    wiped = Replica("a")
-    wiped.found(five, False, Version(9), b"x")
-    said = {name: ReplicaStatus(Version(1), five, True) for name in "bcd"}
-    assert wiped.may_stand(said)
-    said.pop("d")
-    assert not wiped.may_stand(said)
+    abc = (A, B, C)
+    assert next_members(abc, report({C: 9.0}), 3, LOST_S) == abc
+    assert next_members(abc, report({C: 1.0}, learners=[D]), 3, LOST_S) == abc
+    assert next_members(abc, report({C: 2.1}, learners=[D, E]), 3, LOST_S) == (A, B, D)
+    assert next_members(abc, report(leaving=[A], learners=[D]), 3, LOST_S) == (B, C, D)
+    assert next_members(abc, report({C: 2.1}, leaving=[D], learners=[D]), 3, LOST_S) == abc
+    wiped = ReplicaId("c", "5e")
+    assert next_members(abc, report(learners=[D, wiped]), 3, LOST_S) == (A, B, wiped)
 
 
-@test("reading back takes enough voters that none stale suffices")
+@test("voters are added up to their wanted number, never to an even one")
 def _():
-    word = core("a", 3)
-    assert word.newest({}) is None and word.newest(votes(b=7)) == Version(7)
-    assert core("d", 9, standing=False).newest(votes(b=1)) is None
-
-
-@test("a number or list that is older changes nothing")
+    abc = (A, B, C)
+    assert next_members(abc, report(learners=[D]), 5, LOST_S) == abc
+    assert next_members(abc, report(learners=[D, E]), 5, LOST_S) == (A, B, C, D, E)
+    assert next_members((A,), report(learners=[B]), 3, LOST_S) == (A,)
+    assert next_members((A,), report(learners=[B, C]), 3, LOST_S) == abc
+    assert next_members((A, B), report(learners=[C, D]), 3, LOST_S) == abc
+    five = (A, B, C, D, E)
+    others = [ReplicaId(name, "5e") for name in "fg"]
+    assert next_members(five, report({D: 3.0, E: 4.0}, learners=others), 5, LOST_S) == (A, B, C, *others)
+
+
+@test("the register comes back from its records as it was written, and from those of the release before")
 def _():
-    word = core("a", 5)
-    word.hold(Version(4), b"old")
-    assert word.version == Version(5) and word.learn_crew(votes(b=9)) is None
-    newer = VoterSet(2, ("a", "b", "d"))
-    assert word.learn_crew({"d": ReplicaStatus(Version(1), newer, True)}) == newer
+    version = ordered(5).version
+    accepted = Accepted(Ballot(7, "a/1"), RegisterValue(VoterSet(3, (A, B, D)), (A, B, C), version, example(5)))
+    assert read_register(register_record(accepted)) == accepted
+    assert read_promise(promise_record(Ballot(9, "b/2"))) == Ballot(9, "b/2")
+    old = {b"number": b"2", b"names": b"a,b,c", b"standing": b"1", b"promised": b'[0, ""]', b"pending": b"null"}
+    held = read_old_records(old, {b"body": example(5)}, version)
+    assert held.value == RegisterValue(VoterSet(2, (A, B, C)), (), version, example(5))
+    later = read_old_records(old, {b"body": example(6)}, ordered(6).version)
+    assert later.ballot > held.ballot  # of the copies the highest version goes first
+    assert read_old_records(old | {b"standing": b"0"}, None, Version()) is None
 
 
 @test("a duty has one holder at most, whatever is lost, late, restarted or asked again")
