pytest runs in eight processes

Cause: 426 tests in one process, most of the time spent in simulated fleets and in runs of the laboratory that wait for real processes.

Tests distribute one by one; the laboratory's runs stay in one group, and so do the three tests that listen on the same two ports.

--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,12 @@
 
 test: .venv  ## plain cases and seeded random runs
 	$(PYTHON) -m pip install -q -r requirements-dev.txt
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n 8 --dist loadgroup
 	.venv/bin/ward
 
 lint: .venv
 	$(PYTHON) -m pip install -q -r requirements-dev.txt
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -16,6 +16,9 @@
 
 ENV = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
 
+# They listen on the same two ports: one after another, in one worker of a parallel run.
+on_two_ports = pytest.mark.xdist_group("fleet ports")
+
 
 def test_gateways_share_what_they_learn_of_a_silent_backend_over_faults_of_all_kinds(tmp_path):
     out = tmp_path / "run"
@@ -81,6 +84,7 @@
         await self.town.__aexit__()
 
 
+@on_two_ports
 @on_loop
 async def test_two_programs_find_each_other_and_one_says_farewell():
     async with Two() as two:
@@ -91,6 +95,7 @@
         assert second.peers["g1"].record.state == 3
 
 
+@on_two_ports
 @on_loop
 async def test_junk_and_a_flood_of_it_cost_counts_and_the_rest_goes_on():
     async with Two() as two:
@@ -106,6 +111,7 @@
         assert not two.programs[0].tally.broken
 
 
+@on_two_ports
 @on_loop
 async def test_what_the_others_make_of_a_backend_reaches_the_decisions():
     async with Two() as two:
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -19,6 +19,9 @@
 ENV = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
 LAB = [sys.executable, "-m", "stoneyoke.cli", "lab"]
 
+# Each run starts some twenty processes and times them: one run after another, in one worker of a parallel run.
+pytestmark = pytest.mark.xdist_group("lab runs")
+
 
 def lab(*words, timeout=120):
     return subprocess.run([*LAB, *map(str, words)], env=ENV, capture_output=True, text=True, timeout=timeout)
