After SIGTERM no backend at work is called off; outcomes follow from what can have left

From SIGTERM on the host carries no call-off out.

net/backends told CUT (never ran) for a request that was written in part, and for one after whose writing the transport was found closing; NO_CONNECTION for a kernel time-out (ETIMEDOUT, a TimeoutError) after all was written; it put a connection back into use after an answer to something else and then a time-out. Outcomes follow from RequestWrite.may_have_left() now, and a connection with any doubt on it is closed. Of the quota client, rows that were not asked for count for nothing.

--- a/stoneyoke/gateway/control_client.py
+++ b/stoneyoke/gateway/control_client.py
@@ -60,7 +60,7 @@
             lambda: self.roster.keeper(clock()),
             self.lookout.wires.get,
             self.admission.local_quotas,
-            lambda: self.admission.heard(self.micros()),
+            lambda: self.admission.heard(int(self.teller.heard_at * 1_000_000)),
             clock,
         )
         self.born = clock()
--- a/stoneyoke/gateway/quota_client.py
+++ b/stoneyoke/gateway/quota_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from stoneyoke.limits.shares import SILENT_S, LocalQuota, wants_of
+from stoneyoke.limits.shares import SILENT_S, LocalQuota, Want, wants_of
 from stoneyoke.transport.messages import QuotaRequest, QuotaResponse
 from stoneyoke.transport.peers import PeerUnreachable, PeerClient
 
@@ -11,6 +11,12 @@
 ROUND_S = 0.25  # a message at least so often: it tells demand, and that this gateway is there
 
 
+def answers(drawn: QuotaResponse, wants: list[Want]) -> bool:
+    """Whether each of its rows is for a tenant that was asked for, and none is there twice."""
+    given = [tenant for tenant, *_ in drawn.gives]
+    return len(set(given)) == len(given) and set(given) <= {tenant for tenant, *_ in wants}
+
+
 class QuotaClient:
     """local_quotas: by tenant. keeper: the address of the core that holds the duty, "" if not known."""
 
@@ -89,12 +95,13 @@
         # One that may not know that this gateway hears it gives nothing and takes nothing for told.
         wants = wants_of(self.local_quotas, self.waiting, self.heard_at, full, now) if deaf_s <= SILENT_S else []
         drawn = await wire.call(QuotaRequest(self.name, self.life, int(deaf_s * 1000), full, wants), SILENT_S / 2)
-        if not isinstance(drawn, QuotaResponse) or not drawn.ok:
+        if not isinstance(drawn, QuotaResponse) or not drawn.ok or not answers(drawn, wants):
             self.fall()
             await asyncio.sleep(0.02)
             return
         self.down = False
-        self.heard_at = self.clock()
+        # The keeper answered after it was asked; when is not known where this process stood still since.
+        self.heard_at = now
         self.heard()
         if deaf_s > SILENT_S:  # now it will
             self.wanted.set()
--- a/stoneyoke/gateway/request_handler.py
+++ b/stoneyoke/gateway/request_handler.py
@@ -27,6 +27,11 @@
 Reply = tuple[int, bytes, bytes]  # status, body, headers; status 0: nobody waits
 
 
+def answers(answer: Message, request: Request) -> bool:
+    """Whether a backend's answer belongs to this request. One that names two requests belongs to neither."""
+    return answer.headers.get(b"attempt-id") == request.id and b"attempt-id" not in answer.repeated
+
+
 class Steady:
     """What the connections of clients need of a runtime, where each service has one of its own."""
 
@@ -66,7 +71,11 @@
 
     async def leave(self, grace_s: float, shut: Callable[[], None]) -> None:
         """After SIGTERM: serves on while clients may still be sent here, then closes what is idle, then ends what
-        is owed. The platform looks once a second and needs two misses."""
+        is owed. The platform looks once a second and needs two misses.
+
+        From here on no backend is called off: with no other one to take the request, this gateway would give its own
+        answer in place of one that is still being worked on (RULES, LOST)."""
+        self.leaving, self.backends.may_call_off = True, False
         stay_s = min(STAY_S, 0.5 * grace_s)
         self.last_at = self.clock.now() + int((grace_s - END_S) * 1_000_000)
         await asyncio.sleep(stay_s)
@@ -80,7 +89,7 @@
         await self.answer_held()
 
     async def answer(self, client: Client, message: Message) -> None:
-        if self.leaving:
+        if self.leaving and not client.more_came():  # what has been read of the next request is answered too
             message.keeps = False
         await super().answer(client, message)
 
@@ -136,7 +145,7 @@
                         return 0, b"", b""
                     case None if unrun:
                         return self.own(503, "no backend in time", request, route.target_us)
-                    case PushBack(_, wait) if last is None and (unrun or not route.pure):
+                    case PushBack(_, wait) if unrun:
                         self.tally.add("requests: pressed")
                         return self.own(503, "the service is full", request, wait)
                     case CallOut(_, backend, _):
@@ -187,7 +196,7 @@
             head_on(message, instance, tenant.label, until - now),
             message.body,
             until,
-            lambda answer: answer.headers.get(b"attempt-id") == request.id,
+            lambda answer: answers(answer, request),
         )
         self.tally.add(f"call-outs: {outcome.value}")
         if outcome is Outcome.TURNED_AWAY and answer and answer.status == 421:
--- a/stoneyoke/gateway/upstreams.py
+++ b/stoneyoke/gateway/upstreams.py
@@ -181,13 +181,14 @@
 
 def judge(answer: Message | None) -> Outcome:
     """What a backend's answer tells (PROTOCOL, Answers and Backends). Only Not-Run and 421 say that it has not run;
-    a success without its stamp is none."""
+    a success without its stamp, with two, or that says that it has not run is none."""
     if answer is None:
         return Outcome.BROKEN
+    if 200 <= answer.status < 300:
+        whole = answer.headers.get(b"server-stamp") and not answer.repeated & {b"server-stamp"}
+        return Outcome.OK if whole and b"not-run" not in answer.headers else Outcome.BROKEN
     if b"not-run" in answer.headers or answer.status == 421:
         return Outcome.TURNED_AWAY
-    if 200 <= answer.status < 300:
-        return Outcome.OK if answer.headers.get(b"server-stamp") else Outcome.BROKEN
     if answer.status in (408, 429, 503):  # a promise that only Not-Run backs
         return Outcome.BROKEN
     return Outcome.ERROR if answer.status >= 500 else Outcome.OK
--- a/stoneyoke/interface.py
+++ b/stoneyoke/interface.py
@@ -31,7 +31,7 @@
     CALLED_OFF = "called off"
     TURNED_AWAY = "turned away"
     NO_CONNECTION = "no connection"  # nobody took one: the backend may be gone
-    CUT = "cut"  # broke before the last byte, or was not taken though others to this backend stay open
+    CUT = "cut"  # broke before the first byte, or was not taken though others to this backend stay open
     NOT_SENT = "not sent"
 
 
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -1,11 +1,14 @@
-"""Connections to backends, and call-outs over them: each outcome told apart, nothing ever sent again."""
+"""Connections to backends, and call-outs over them: each outcome told apart, nothing ever sent again.
+
+An answer is taken for the request that went out on the same connection, and no other. A connection with any doubt on it
+(bytes beyond an answer, an answer to something else, cut, garbled or given up) is closed and never used again."""
 
 import asyncio
 from collections import deque
 from collections.abc import Callable
 
 from stoneyoke.interface import Outcome
-from stoneyoke.net.http import BODY_TOP, Line, Malformed, Message, Messages, connect, unread, write_message
+from stoneyoke.net.http import BODY_TOP, Line, Malformed, Message, Messages, RequestWrite, connect, readable
 from stoneyoke.net.room import Room, Victim
 from stoneyoke.runtime import Clock, Held
 from stoneyoke.tally import Tally
@@ -21,6 +24,12 @@
         self.line, self.writer = line, writer
         self.answers = Messages(line.reader, answers=True, body_top=answer_top)
         self.used_at = 0
+        self.doubted = False  # an answer to something else came on it
+
+    def clean(self) -> bool:
+        """Whether nothing but answers that were taken has come, each to its own request, and neither end closed it."""
+        taken_all = self.line.received == self.answers.taken and not self.answers.pending()
+        return taken_all and not (self.doubted or self.line.reader.at_eof() or self.writer.is_closing())
 
     def close(self) -> None:
         self.line.on_bytes = self.line.on_close = None
@@ -36,7 +45,51 @@
         self.busy = 0  # connections with a call-out on them
 
 
+class Attempt:
+    """One request on its way to a backend: its connection, and what may have left of it.
+
+    It is never written twice. Its outcome says that it has not run only where no byte of it can have left; a failure
+    after that, at whichever await, tells that it may have run."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.link: Link | None = None
+        self.request: RequestWrite | None = None
+
+    async def send(self, head: list[bytes], body: bytes) -> None:
+        if self.link is None or not self.link.clean():  # who speaks before being asked answers nothing
+            raise ConnectionResetError("a connection that can't be used")
+        self.request = RequestWrite(self.link.writer)
+        self.request.start(head, body)
+        await self.request.finish()
+
+    async def answer(self, ours: Callable[[Message], bool] | None, tally: Tally) -> Message | None:
+        """The answer to this request, or None where the stream ended in its place."""
+        if self.link is None:
+            return None
+        while (answer := await self.link.answers.next()) and ours and not ours(answer):
+            self.link.doubted = True
+            tally.add("answers of backends: to something else")
+        return answer
+
+    def failed(self, bad: OSError, time_up: bool, called_off: bool) -> Outcome:
+        """What its end tells. Its connection is aborted before the loop turns again (see RequestWrite)."""
+        ended_here = time_up and isinstance(bad, TimeoutError)
+        if self.request and self.request.may_have_left():
+            if ended_here:
+                return Outcome.CALLED_OFF if called_off else Outcome.TIMED_OUT
+            return Outcome.BROKEN
+        if ended_here:
+            return Outcome.NOT_SENT
+        if self.link is None and isinstance(bad, TimeoutError):
+            return Outcome.NO_CONNECTION
+        # With a process all its connections go. As long as one is up, only this one was refused or cut.
+        return Outcome.CUT if self.link or self.site.idle or self.site.busy else Outcome.NO_CONNECTION
+
+
 class Backends:
+    may_call_off = True  # False once this process is to end: what a backend is at work on is not broken off any more
+
     def __init__(
         self, clock: Clock, tally: Tally, dial_us: int, idle_us: int, room: Room, answer_top: int = BODY_TOP
     ) -> None:
@@ -79,66 +132,66 @@
         until: int,
         ours: Callable[[Message], bool] | None = None,
     ) -> tuple[Outcome, Message | None]:
-        """One call-out, ended by an answer, a fault, the module's call-off or the given time. An answer that
-        isn't ours came late or was sent twice: the next one on the connection may be."""
+        """One call-out, ended by an answer, a fault, the module's call-off or the given time.
+
+        ours: whether an answer belongs to this request. One that does not came late or was sent twice: the next one
+        on the connection may be."""
         site = self.sites.get(backend)
-        if site is None:
+        if site is None or self.clock.now() >= until:
             return Outcome.NOT_SENT, None
         called_off = False
         scope = asyncio.timeout_at(self.clock.loop_time(until))
 
         def stop(number: int) -> None:
             nonlocal called_off
-            if number == n and not called_off and not scope.expired():
+            if number == n and self.may_call_off and not called_off and not scope.expired():
                 called_off = True
                 scope.reschedule(0.0)
 
-        link, whole, answer = None, False, None
+        attempt, answer = Attempt(site), None
         held.stop = stop
         try:
             async with scope:
-                if (link := self.take_idle(site)) is None:
-                    if not self.room.take():
-                        self.tally.add("call-outs: no descriptor left")
-                        return Outcome.NOT_SENT, None
-                    link = await self.connect(site)
-                site.busy += 1
-                if not self.takes(backend):  # told so since the module chose it: while it was dialled, say
-                    self.tally.add("call-outs: backend left meanwhile")
+                if not await self.reach(attempt, backend):
                     return Outcome.NOT_SENT, None
-                write_message(link.writer, head, body)
-                if link.writer.transport.get_write_buffer_size():
-                    await link.writer.drain()
-                if link.writer.transport.is_closing():
-                    return Outcome.CUT, None
-                whole = True
-                answer = await link.answers.next()
-                while ours and answer and not ours(answer):
-                    self.tally.add("answers of backends: to something else")
-                    answer = await link.answers.next()
-        except TimeoutError:
-            if not scope.expired():
-                return Outcome.NO_CONNECTION, None
-            if not whole:
-                return Outcome.NOT_SENT, None
-            return (Outcome.CALLED_OFF if called_off else Outcome.TIMED_OUT), None
-        except OSError:
-            if whole:
-                return Outcome.BROKEN, None
-            # With a process all its connections go. As long as one is up, only this one was refused or cut.
-            return (Outcome.CUT if link or site.idle or site.busy else Outcome.NO_CONNECTION), None
+                await attempt.send(head, body)
+                answer = await attempt.answer(ours, self.tally)
+        except OSError as bad:  # a TimeoutError is one: the scope's, the dial's, or the kernel's own
+            return attempt.failed(bad, scope.expired(), called_off), None
         except Malformed as bad:
             self.tally.report("answers of backends: malformed", f"{site.address}: {bad}")
             return Outcome.BROKEN, None
         finally:
             held.stop = None
-            site.busy -= link is not None
-            if link and answer and answer.keeps and not link.answers.pending() and (self.sites.get(backend) is site):
-                self.put_back(site, link)
-            elif link:
-                self.drop(link)
+            self.release(attempt, backend, answer)
         return self.judge(answer), answer
 
+    async def reach(self, attempt: Attempt, backend: int) -> bool:
+        """Gives it a connection. False: there is no descriptor, or the backend takes no new work any more."""
+        site = attempt.site
+        link = self.take_idle(site)
+        if link is None:
+            if not self.room.take():
+                self.tally.add("call-outs: no descriptor left")
+                return False
+            link = await self.connect(site)
+        attempt.link = link
+        site.busy += 1
+        if not self.takes(backend) or self.sites.get(backend) is not site:  # told so while it was dialled, say
+            self.tally.add("call-outs: backend left meanwhile")
+            return False
+        return True
+
+    def release(self, attempt: Attempt, backend: int, answer: Message | None) -> None:
+        """Keeps the connection if it ended with this request's own answer and there is no doubt about it."""
+        if link := attempt.link:
+            attempt.site.busy -= 1
+            current = self.sites.get(backend) is attempt.site
+            if current and answer and answer.keeps and link.clean():
+                self.put_back(attempt.site, link)
+            else:
+                self.drop(link)
+
     async def connect(self, site: Site) -> Link:
         """A new connection, for which there is room."""
         try:
@@ -153,8 +206,8 @@
         while site.idle:
             link = site.idle.pop()
             link.line.on_bytes = link.line.on_close = None
-            # What has come behind its last answer and waits on the socket would pass for the next one.
-            if self.clock.now() - link.used_at < self.idle_us and not (link.writer.is_closing() or unread(link.writer)):
+            # What waits on the socket, bytes or an end, the loop has not seen yet: after a freeze there may be both.
+            if self.clock.now() - link.used_at < self.idle_us and link.clean() and not readable(link.writer):
                 return link
             self.drop(link)
         return None
@@ -168,8 +221,6 @@
                 self.drop(link)
 
         link.used_at = self.clock.now()
-        if link.line.reader.at_eof() or link.writer.is_closing():
-            return self.drop(link)
         link.line.on_bytes = link.line.on_close = end
         site.idle.append(link)
 
--- a/stoneyoke/net/clients.py
+++ b/stoneyoke/net/clients.py
@@ -63,6 +63,10 @@
         """Something of a message has come, or waits on the socket."""
         return not (self.gone or self.over or self.writer.is_closing() or self.quiet())
 
+    def more_came(self) -> bool:
+        """Something beyond the message that is being answered has been read from the socket."""
+        return self.messages.pending() or self.line.received != self.messages.taken
+
     def quiet(self) -> bool:
         """No whole message has come and no byte waits to be read: closing it loses no RPC."""
         if self.over:
@@ -143,7 +147,8 @@
                 if writer.transport.get_write_buffer_size():
                     client.since = self.clock.now()
                     await writer.drain()
-                if self.ending or not message.keeps or writer.is_closing():
+                # A request of which something has been read is answered before its connection closes.
+                if not message.keeps or writer.is_closing() or self.ending and not client.more_came():
                     break
                 client.whole, client.idle = False, not client.ahead and not client.messages.pending()
                 client.since, client.ahead = client.ahead or self.clock.now(), 0
@@ -196,7 +201,8 @@
             status, body, more = await self.life(client, message)
             if status == 0 or client.writer.is_closing():
                 return self.tally.add("RPCs: client gone")
-        if self.ending or not message.keeps:
+        if not message.keeps or self.ending and not client.more_came():
+            message.keeps = False
             more += b"Connection: close\r\n"
         head = [status_line(status), more, b"Content-Length: %d\r\n" % len(body)]
         write_message(client.writer, head, body)
--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fcntl
+import select
 import sys
 import termios
 from collections import deque
@@ -15,6 +16,7 @@
 HEAD_TOP = 16_384  # bytes of a head; the largest of the protocol page holds some 500
 FRAMED = 5  # times its body's limit a message may hold with its framing: chunks may be small, not without end
 PIECE = 16_384  # bytes read at once; a stream stops reading at twice that, so that no peer fills the memory
+END_OF_HEAD = b"\r\n"
 WASTE = 262_144  # the same for what is only thrown away: 60 MB in 240 reads
 
 Met = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Coroutine[None, None, None]]
@@ -36,6 +38,7 @@
         super().__init__(self.reader, met)
         self.on_bytes: Callable[[], None] | None = None
         self.on_close: Callable[[], None] | None = None
+        self.received = 0  # bytes given to the reader; a connection is clean only once all of them were taken
         self.deaf = False  # what comes is thrown away
 
     def deafen(self) -> None:
@@ -54,6 +57,7 @@
         if self.on_bytes:
             self.on_bytes()
         if not self.deaf:
+            self.received += len(data)
             super().data_received(data)
 
     def eof_received(self) -> bool | None:
@@ -81,6 +85,13 @@
     return int.from_bytes(count, sys.byteorder) != 0
 
 
+def readable(writer: asyncio.StreamWriter) -> bool:
+    """Whether bytes, the stream's end or an error wait on the socket that the loop has not seen yet."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Message:
     """A message: its first line's parts, its headers by lower-case name, its body."""
 
@@ -106,6 +117,7 @@
         self.begun: Message | None = None
         self.in_head = False
         self.size = self.raw = 0  # bytes of the head, then of the body, that is being read; and of it all
+        self.taken = 0  # bytes read from the stream, in all
         self.parts: list[bytes] = []  # of that body
         self.fault: Malformed | None = None
         # All that has come is taken in and makes no message yet. Whoever is told of bytes first unsets it.
@@ -126,6 +138,7 @@
                 if self.begun:  # what only this end would frame may have been cut short as well
                     raise ConnectionResetError("the stream ended within a message")
                 return None
+            self.taken += len(data)
             if self.in_head or not self.begun:
                 self.size += len(data)
             self.raw += len(data)
@@ -215,9 +228,46 @@
         self.parts.clear()
 
 
+class RequestWrite:
+    """A request handed to a connection, and whether a byte of it can have left this process.
+
+    A transport offers the first send to the kernel at once and keeps what that does not take in its own buffer. So no
+    byte has left where the connection was closing before, where that first send was refused, or where the transport is
+    still open and its buffer holds as much as was handed to it. A transport that has closed meanwhile keeps no buffer
+    and tells nothing: some bytes may have left.
+
+    "None has left" stays true only if what the buffer holds never leaves: whoever relies on it aborts the connection
+    before the event loop turns again. A request of which a part has left counts as one that may run. It is not whole
+    at the backend, but that a backend runs nothing before the last byte is the backend's matter, not known here."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self.writer, self.size = writer, 0
+
+    def start(self, head: list[bytes], body: bytes) -> None:
+        """Raises ConnectionResetError where the connection is closed or refuses the first send: no byte has left."""
+        if self.writer.is_closing():
+            raise ConnectionResetError("closed before the request")
+        write_message(self.writer, head, body)
+        if self.writer.is_closing():
+            raise ConnectionResetError("the request's first send was refused")
+        self.size = sum(map(len, head)) + len(END_OF_HEAD) + len(body)
+
+    async def finish(self) -> None:
+        """Returns once the kernel has taken the last byte. Raises an OSError where the connection ends before."""
+        if self.writer.transport.get_write_buffer_size():
+            await self.writer.drain()  # returns, too, where the connection ends without an error
+        if self.writer.is_closing():
+            raise ConnectionResetError("closed while the request was written")
+
+    def may_have_left(self) -> bool:
+        if not self.size:
+            return False
+        return self.writer.is_closing() or self.writer.transport.get_write_buffer_size() < self.size
+
+
 def write_message(writer: asyncio.StreamWriter, head: list[bytes], body: bytes) -> None:
     """Head and body in one gathered write."""
-    writer.writelines((*head, b"\r\n", body))
+    writer.writelines((*head, END_OF_HEAD, body))
 
 
 def status_line(status: int) -> bytes:
--- a/stoneyoke/transport/messages.py
+++ b/stoneyoke/transport/messages.py
@@ -219,6 +219,19 @@
 )
 
 
+# What answers each request; whoever asks takes nothing else. A kind that is not here is a response itself.
+RESPONSES: dict[type, type] = {
+    PullRequest: PullResponse,
+    FetchRequest: FetchResponse,
+    StoreRequest: StoreResponse,
+    InstanceUpdate: InstanceUpdateResponse,
+    InstanceRefresh: InstanceUpdateResponse,
+    Muster: Mustered,
+    LeaseRequest: LeaseResponse,
+    QuotaRequest: QuotaResponse,
+}
+
+
 def pack(number: int, message: Message) -> bytes:
     """A frame: four bytes of length, then the list."""
     kind = type(message)
--- a/tests/system/test_quota_client.py
+++ b/tests/system/test_quota_client.py
@@ -93,3 +93,37 @@
         assert wire.asked[2].wants[0][:3] == ("anna", 0.0, 2.0)
 
     play(wire, story)
+
+
+@test("rows for a tenant that was not asked for, or twice, give nothing to anybody")
+def _():
+    for wrong in (
+        QuotaResponse(True, [("bert", 3.0, 0.0, 0.5, 2.0)]),
+        QuotaResponse(True, [("anna", 3.0, 0.0, 0.5, 2.0)] * 2),
+    ):
+        wire = PeerClient([GREETED, wrong])
+
+        async def story(teller, heard, wire=wire):
+            teller.local_quotas["bert"] = LocalQuota()
+            await teller.ask("anna")
+            assert teller.down and len(wire.asked) == 2 and len(heard) == 1
+            assert teller.local_quotas["anna"].level == teller.local_quotas["bert"].level == 0
+
+        play(wire, story)
+
+
+@test("the keeper counts as heard from when it was asked, however long this process stood still since")
+def _():
+    wire = PeerClient([GREETED, given(3.0)])
+
+    async def story(teller, heard):
+        await teller.ask("anna")
+        loop = asyncio.get_running_loop()
+        asked_at, now = loop.time(), loop.time
+        teller.clock = lambda: now() + (100.0 if len(wire.asked) > 2 else 0.0)  # from the third one's asking on
+        wire.answers.append(given(1.0))
+        teller.local_quotas["anna"].demand = 1.0
+        await teller.draw(wire)
+        assert asked_at <= teller.heard_at == teller.local_quotas["anna"].told_at < asked_at + 50
+
+    play(wire, story)
--- /dev/null
+++ b/tests/system/test_upstream_attempts.py
@@ -0,0 +1,373 @@
+"""What an upstream attempt's outcome tells, at each await, and which connection may be used again.
+
+An order is sent again after an outcome of PROVEN_UNRUN: that one must not come once a byte can have left."""
+
+import asyncio
+import errno
+import functools
+import socket
+
+from raw_backend import LARGE, SHORT_US, RawBackend, Sender, after_all_time, arrived, reset, seen_by_kernel, until
+from ward import test
+
+from stoneyoke.control.ground import PROVEN_UNRUN
+from stoneyoke.interface import Outcome
+from stoneyoke.net.backends import Attempt, Site
+from stoneyoke.net.http import RequestWrite
+
+OK = b"HTTP/1.1 200 OK\r\nAttempt-Id: a-1\r\nContent-Length: 3\r\n\r\nyes"
+OTHER = OK.replace(b"a-1", b"z-9")
+
+
+def ours(answer):
+    return answer.headers.get(b"attempt-id") == b"a-1"
+
+
+def on_loop(story):
+    @functools.wraps(story)
+    def run():
+        asyncio.run(story())
+
+    return run
+
+
+async def whole_request(peer, sender, **more):
+    """An attempt whose request has arrived whole, and the peer's end of its connection."""
+    out = sender.begin(**more)
+    await until(peer.waiting)
+    connection, got = peer.accept(), b""
+
+    def read():
+        nonlocal got
+        got += arrived(connection)
+        return got.endswith(b"order")
+
+    await until(read)
+    return out, connection
+
+
+async def part_of_a_request(peer, sender, **more):
+    out = sender.begin(body=LARGE, **more)
+    await until(peer.waiting)
+    connection = peer.accept()
+    await until(lambda: sender.links and sender.links[0].writer.transport.get_write_buffer_size())
+    return out, connection
+
+
+# ---- before a byte can have left ----
+
+
+@test("before a connection is asked for: an unknown backend or a time that is up leaves nothing")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        sender = Sender(peer.address)
+        assert (await sender.send(within=0))[0] is Outcome.NOT_SENT and not peer.waiting()
+        sender.backends.forget(0)
+        assert (await sender.send())[0] is Outcome.NOT_SENT
+
+
+@test("while it connects: refused, without an answer, out of time, called off and cancelled all leave nothing")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        with full, socket.create_connection(full.getsockname()):  # what comes beyond that gets no answer
+            assert (await Sender(full.getsockname(), dial_us=SHORT_US).send())[0] is Outcome.NO_CONNECTION
+            late = Sender(full.getsockname())
+            assert (await late.send(within=SHORT_US))[0] is Outcome.NOT_SENT and late.all_closed()
+            out = late.begin()
+            await until(lambda: late.held.stop)
+            late.held.stop(0)
+            assert (await out)[0] is Outcome.NOT_SENT and late.all_closed()
+            out = late.begin()
+            await until(lambda: late.backends.room.used)
+            out.cancel()
+            await asyncio.wait([out])
+            assert out.cancelled() and late.all_closed()
+        refused = Sender(peer.address)
+        peer.close()
+        assert (await refused.send())[0] is Outcome.NO_CONNECTION and refused.all_closed()
+
+
+@test("connected, not written: a backend that has left or moved meanwhile gets no byte")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        for leaves in (True, False):
+            sender = Sender(peer.address)
+
+            def takes(_, sender=sender, leaves=leaves):
+                if not leaves:
+                    sender.backends.place(0, ("127.0.0.1", 1))
+                return not leaves
+
+            sender.backends.takes = takes
+            assert (await sender.send())[0] is Outcome.NOT_SENT and sender.backends.room.used == 0
+            assert arrived(peer.accept()) == b""
+
+
+@test("a write that is refused at once leaves nothing, and says so")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        sender = Sender(peer.address)
+
+        def takes(_):  # the connection is up, the next step is the write: the loop doesn't turn before
+            reset(peer.accept())
+            seen_by_kernel(sender.links[0].writer)
+            return True
+
+        sender.backends.takes = takes
+        assert (await sender.send())[0] is Outcome.CUT and sender.all_closed()
+
+
+@test("a backend that speaks before it was asked is asked nothing")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        sender = Sender(peer.address)
+
+        def takes(_):
+            sender.links[0].line.data_received(OK)
+            return True
+
+        sender.backends.takes = takes
+        assert (await sender.send())[0] is Outcome.CUT and sender.all_closed()
+        assert arrived(peer.accept()) == b""
+
+
+class Transport:
+    """A transport as RequestWrite sees it: what the first send leaves in the buffer, and whether it is closing."""
+
+    def __init__(self, closing=False, closes=False, takes=0):
+        self.closing, self.closes, self.takes, self.buffered = closing, closes, takes, 0
+
+    def is_closing(self):
+        return self.closing
+
+    def get_write_buffer_size(self):
+        return 0 if self.closing else self.buffered
+
+    def writelines(self, parts):
+        self.closing = self.closes
+        self.buffered = max(0, sum(map(len, parts)) - self.takes)
+
+    @property
+    def transport(self):
+        return self
+
+    async def drain(self):
+        self.closing = True
+
+
+@test("of a request that is begun, none has left only while the open transport holds every byte of it")
+@on_loop
+async def _():
+    for transport, refused, left in (
+        (Transport(closing=True), True, False),
+        (Transport(closes=True, takes=9999), True, False),
+        (Transport(takes=0), False, False),
+        (Transport(takes=1), False, True),
+        (Transport(takes=9999), False, True),
+    ):
+        request = RequestWrite(transport)
+        try:
+            request.start([b"POST / HTTP/1.1\r\n"], b"order")
+            assert not refused
+        except ConnectionResetError:
+            assert refused
+        assert request.may_have_left() is left
+    request = RequestWrite(Transport())
+    request.start([b"POST / HTTP/1.1\r\n"], b"order")
+    attempt = Attempt(Site(("127.0.0.1", 1)))
+    attempt.request = request
+    assert attempt.failed(TimeoutError(), True, True) is Outcome.NOT_SENT  # called off with every byte still here
+    try:
+        await request.finish()  # it ends without an error, as a transport does that was closed from this side
+        raise AssertionError("a request that was not written whole passes for one that was")
+    except ConnectionResetError as bad:
+        assert request.may_have_left(), "a transport that has closed meanwhile proves nothing"
+        assert attempt.failed(bad, False, False) is Outcome.BROKEN
+
+
+# ---- once a byte can have left ----
+
+
+@test("partly written: a reset, a close, the time's end, a call-off and cancellation never prove that it has not run")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+
+        def called_off(sender, *_):
+            sender.held.stop(0)
+
+        for ends, outcome in (
+            (lambda _, connection: reset(connection), Outcome.BROKEN),
+            (lambda _, connection: connection.close(), Outcome.BROKEN),
+            (None, Outcome.TIMED_OUT),
+            (called_off, Outcome.CALLED_OFF),
+            (lambda sender, _: sender.links[0].writer.transport.abort(), Outcome.BROKEN),
+        ):
+            sender = Sender(peer.address)
+            out, connection = await part_of_a_request(peer, sender)
+            if ends:
+                ends(sender, connection)
+            else:
+                await after_all_time(out)
+            told, answer = await out
+            assert (told, answer) == (outcome, None) and told not in PROVEN_UNRUN, (told, outcome)
+            assert sender.all_closed()
+        sender = Sender(peer.address)
+        out, connection = await part_of_a_request(peer, sender)
+        out.cancel()
+        await asyncio.wait([out])
+        assert sender.all_closed() and len(arrived(connection)) < len(LARGE)
+
+
+@test("wholly written: a reset, a close, silence, a call-off and the kernel's own time-out may all have run")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+
+        def called_off(sender, *_):
+            sender.held.stop(0)
+
+        def kernel_gives_up(sender, _):  # ETIMEDOUT is a TimeoutError, as the dial's is
+            sender.links[0].line.connection_lost(TimeoutError(errno.ETIMEDOUT, "timed out"))
+
+        for ends, outcome in (
+            (lambda _, connection: reset(connection), Outcome.BROKEN),
+            (lambda _, connection: connection.close(), Outcome.BROKEN),
+            (lambda _, connection: connection.sendall(OK[:-1]) or connection.close(), Outcome.BROKEN),
+            (lambda _, connection: connection.sendall(b"no HTTP\r\n\r\n"), Outcome.BROKEN),
+            (None, Outcome.TIMED_OUT),
+            (called_off, Outcome.CALLED_OFF),
+            (kernel_gives_up, Outcome.BROKEN),
+        ):
+            sender = Sender(peer.address)
+            out, connection = await whole_request(peer, sender)
+            if ends:
+                ends(sender, connection)
+            else:
+                await after_all_time(out)
+            told, answer = await out
+            assert (told, answer) == (outcome, None), (told, outcome)
+            assert sender.all_closed()
+        sender = Sender(peer.address)
+        out, connection = await whole_request(peer, sender)
+        out.cancel()
+        await asyncio.wait([out])
+        assert out.cancelled() and sender.all_closed()
+
+
+@test("nothing is called off once the process is to end")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        sender = Sender(peer.address)
+        out, connection = await whole_request(peer, sender)
+        sender.backends.may_call_off = False
+        sender.held.stop(0)
+        connection.sendall(OK)
+        assert (await out)[0] is Outcome.OK
+
+
+# ---- connections that may be used again ----
+
+
+async def served(peer, sender, connection=None, answer=OK, made=1):
+    """One attempt, answered whole. Without a connection to answer on it must make a new one."""
+    out = sender.begin(ours=ours)
+    if connection is None:
+        await until(peer.waiting)
+        connection = peer.accept()
+    await until(lambda: arrived(connection))
+    connection.sendall(answer)
+    told, message = await out
+    assert told is Outcome.OK and message.body == b"yes" and len(sender.links) == made
+    return connection
+
+
+@test("a connection with a whole answer is used again; reset, closed or spoken on unseen by the loop it is not")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        for spoils in (reset, lambda connection: connection.close(), lambda connection: connection.sendall(OK)):
+            sender = Sender(peer.address)
+            connection = await served(peer, sender)
+            assert await served(peer, sender, connection) is connection
+            spoils(connection)
+            seen_by_kernel(sender.links[0].writer)  # and the loop has not turned since
+            await served(peer, sender, made=2)
+            assert sender.backends.room.used == 1
+
+
+@test("extra bytes, an answer to something else, one sent twice or called off: the connection is not used again")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        for answer in (OTHER + OK, OK + OK, OK + b"x", OTHER + OTHER + OK):
+            sender = Sender(peer.address)
+            await served(peer, sender, answer=answer)
+            assert sender.all_closed(), answer
+            await served(peer, sender, made=2)
+
+
+@test("bytes that came with an answer and were not parsed yet are extra bytes")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        sender = Sender(peer.address)
+
+        def spoken_on(answer):
+            sender.links[0].line.data_received(OK)  # behind the answer that is being looked at
+            return ours(answer)
+
+        out, connection = await whole_request(peer, sender, ours=spoken_on)
+        connection.sendall(OK)
+        assert (await out)[0] is Outcome.OK and sender.all_closed()
+
+
+@test("after an answer to something else and then silence, the connection is not taken for answered")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        for outcome in (Outcome.TIMED_OUT, Outcome.CALLED_OFF):
+            sender = Sender(peer.address)
+            out, connection = await whole_request(peer, sender, ours=ours)
+            connection.sendall(OTHER)
+            await until(lambda sender=sender: sender.links[0].doubted)
+            if outcome is Outcome.CALLED_OFF:
+                sender.held.stop(0)
+            else:
+                await after_all_time(out)
+            assert await out == (outcome, None) and sender.all_closed()
+
+
+@test("no mutation of one answer passes for another request's, or leaves anything for the next")
+@on_loop
+async def _():
+    with RawBackend() as peer:
+        mutations = [OK[:at] for at in range(len(OK))]  # cut
+        mutations += [OK[:at] + bytes([OK[at] ^ 0x11]) + OK[at + 1 :] for at in range(len(OK))]  # garbled
+        mutations += [OK[:at] + b"7" + OK[at:] for at in range(len(OK))]  # longer
+        mutations += [OK + OK[:at] for at in range(1, len(OK) + 1)]  # with a part of a second one, or all
+        mutations += [OTHER + OK[:at] for at in range(len(OK))]  # behind one to something else
+        wrong = 0
+        for answer in mutations:
+            sender = Sender(peer.address)
+            out, connection = await whole_request(peer, sender, ours=ours)
+            connection.sendall(answer)
+            connection.shutdown(socket.SHUT_WR)
+            told, message = await out
+            assert told in (Outcome.OK, Outcome.ERROR, Outcome.BROKEN), (answer, told)
+            if told is Outcome.OK:
+                head, _, body = answer.partition(b"\r\n\r\n")
+                assert b"Attempt-Id: a-1\r\n" in head and len(message.body) == 3 and body.startswith(message.body)
+            wrong += told is Outcome.BROKEN
+            connection.close()
+            await served(peer, sender, made=2)
+        assert wrong > 150
