Records: what a killed process wrote is synced before it is loaded; a full disk makes room

Cause: a start gave what lay in the page cache, also where the sync had not been reached: a member counted as holding it, and a later loss of power took it away. A record that could not be opened (no descriptor left, a read error) passed for torn, so an older one was given. Records that failed could fill a full disk and count among the kept.

Change: load syncs what it gives or raises StorageError; only missing or torn records are passed over; a full disk is cleared down to the newest good record of each family and the write tried once more; after a keep all that is neither good nor newer goes, the index's backup at once; calls from several threads are ordered. The format is as before. The simulated disk keeps or loses each name made or removed by itself, and may end a process at removals too.

--- a/stoneyoke/lab/simulation/network.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -2,14 +2,16 @@
 
 Messages go through the real packing. A call may be delivered though its caller has given up, late, or twice: that is
 more than TCP allows, so what holds here holds there. Disks keep the real format; a loss of power keeps what was
-synced, and each later write whole, torn or not at all, by lot (DEPLOY, Disk)."""
+synced, each later write whole, torn or not at all, and each name made or removed or not, by lot (DEPLOY, Disk)."""
 
 import asyncio
+import errno
 import os
 import random
 import shutil
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
 
 from stoneyoke.storage.record_store import RecordStore, StorageError
 from stoneyoke.transport.messages import Message, pack, unpack
@@ -118,54 +120,107 @@
     """In the middle of a write."""
 
 
+class FileState(NamedTuple):
+    """A file's bytes as a process reads them, and those that its last sync covered; None: it had no sync."""
+
+    content: bytes
+    synced: bytes | None
+
+
+@dataclass(slots=True)
+class SyncedState:
+    """What a loss of power has to start from: files by name, as of the last syncs."""
+
+    contents: dict[str, bytes] = field(default_factory=dict)  # of the file that has the name now, by its own last sync
+    names: set[str] = field(default_factory=set)  # as the folder's last sync found them
+    removed: dict[str, list[FileState]] = field(default_factory=dict)  # since that sync, in their order
+
+
 class SimulatedRecordStore(RecordStore):
-    """The real records in a real folder, whose syncs are noted: `durable` is what a loss of power leaves for sure."""
+    """The real records in a real folder, whose syncs and removals are noted. refuses: no sync ends well.
+    room: so many bytes fit. steps_left: then the process ends; -1: it does not."""
 
-    def __init__(self, folder: str) -> None:
-        self.durable: dict[str, bytes] = {}
+    def __init__(self, folder: str, state: SyncedState | None = None) -> None:
+        self.state = state or SyncedState()
         self.refuses = False
-        self.syncs_left = -1  # then the process ends; -1: it does not
+        self.room: int | None = None
+        self.steps_left = -1
         super().__init__(folder)
 
+    def step(self) -> None:
+        if self.steps_left == 0:
+            raise PowerLost
+        self.steps_left -= self.steps_left > 0
+
+    def content(self, name: str) -> bytes | None:
+        try:
+            with open(os.path.join(self.folder, name), "rb") as file:
+                return file.read()
+        except FileNotFoundError:
+            return None
+
+    def write_files(self, family: str, number: int, record: dict[bytes, bytes]) -> None:
+        super().write_files(family, number, record)
+        sizes = {name: os.path.getsize(os.path.join(self.folder, name)) for name in os.listdir(self.folder)}
+        if self.room is not None and (over := sum(sizes.values()) - self.room) > 0:
+            data = f"{family}-{number}.dat"
+            os.truncate(os.path.join(self.folder, data), max(0, sizes[data] - over))
+            raise OSError(errno.ENOSPC, "the disk is full")
+
     def sync(self, path: str) -> None:
         if self.refuses:
-            raise OSError("refused")
-        if self.syncs_left == 0:
-            raise PowerLost
-        self.syncs_left -= self.syncs_left > 0
+            raise OSError(errno.EIO, "refused")
+        self.step()
+        name = os.path.basename(path)
         if path == self.folder:
-            self.durable = {
-                name: data for name, data in self.durable.items() if os.path.exists(os.path.join(self.folder, name))
-            }
-        else:
-            with open(path, "rb") as file:
-                self.durable[os.path.basename(path)] = file.read()
+            self.state.names = set(os.listdir(self.folder))
+            self.state.contents = {one: data for one, data in self.state.contents.items() if one in self.state.names}
+            self.state.removed = {}
+        elif (content := self.content(name)) is not None:
+            self.state.contents[name] = content
+
+    def remove(self, path: str) -> None:
+        name = os.path.basename(path)
+        if (content := self.content(name)) is None:
+            return
+        self.step()
+        self.state.removed.setdefault(name, []).append(FileState(content, self.state.contents.pop(name, None)))
+        super().remove(path)
 
     def lose_power(self, chance: random.Random) -> None:
-        """What was not synced is there, missing or torn; names removed since the last sync may be back."""
+        """Writes after a file's last sync are there, missing or torn; each name made or removed since the folder's
+        last sync is kept or lost by itself. At some losses all that was not synced is gone."""
         all_gone = chance.random() < 0.25
-        now = {}
-        for name in sorted(os.listdir(self.folder)):
-            with open(os.path.join(self.folder, name), "rb") as file:
-                now[name] = file.read()
-        after: dict[str, bytes] = {}
-        for name in sorted({*now, *self.durable}):
-            new, old = now.get(name), self.durable.get(name)
-            if new == old or all_gone or chance.random() < 0.4:
-                kept = old
-            elif new is not None and chance.random() < 0.5:
-                cut = chance.randrange(len(new) + 1)
-                kept = new[:cut] + (b"\0" * (len(new) - cut) if chance.random() < 0.5 else b"")
+        state, after = self.state, dict[str, bytes]()
+        for name in sorted({*os.listdir(self.folder), *state.names, *state.removed}):
+            content, removed = self.content(name), state.removed.get(name, [])
+            files = [*removed, *([FileState(content, state.contents.get(name))] if content is not None else [])]
+            if files and name in state.names and (all_gone or not removed):
+                left = files[0]
+            elif all_gone or (not removed and chance.random() < 0.5):
+                continue  # a name that was made is lost
+            elif (at := chance.randrange(len(files) + 1)) < len(files):
+                left = files[at]
             else:
-                kept = new
-            if kept is not None:
-                after[name] = kept
+                continue
+            after[name] = (left.synced or b"") if all_gone else torn(left, chance)
         shutil.rmtree(self.folder)
         os.makedirs(self.folder)
         for name, data in after.items():
             with open(os.path.join(self.folder, name), "wb") as file:
                 file.write(data)
-        self.durable = after
+        self.state = SyncedState(after, set(after))
+
+
+def torn(file: FileState, chance: random.Random) -> bytes:
+    """Writes after the last sync: missing, there, or there up to some byte, with zeros or nothing after it."""
+    content, synced = file.content, file.synced or b""
+    if content == synced or chance.random() < 0.4:
+        return synced
+    if chance.random() < 0.5:
+        return content
+    cut = chance.randrange(len(content) + 1)
+    return content[:cut] + (b"\0" * (len(content) - cut) if chance.random() < 0.5 else b"")
 
 
 class Disk:
@@ -179,9 +234,8 @@
 
     def mount(self) -> SimulatedRecordStore:
         """For a new process."""
-        durable = self.hold.durable
-        self.hold = SimulatedRecordStore(self.folder)
-        self.hold.durable, self.hold.refuses = durable, self.refuses
+        self.hold = SimulatedRecordStore(self.folder, self.hold.state)
+        self.hold.refuses = self.refuses
         return self.hold
 
     async def blocking(self, work: Callable[..., Any], *args: Any) -> Any:
@@ -201,17 +255,17 @@
     def end(self, power: bool) -> None:
         """The process there ends, maybe within a write."""
         if self.writing and self.chance.random() < 0.6:
-            self.hold.syncs_left = self.chance.randrange(3)
+            self.hold.steps_left = self.chance.randrange(8)  # a record's syncs and what is removed after them
             try:
                 self.writing()
             except (PowerLost, StorageError):
                 pass
         self.writing = None
-        self.hold.syncs_left = -1
+        self.hold.steps_left = -1
         if power:
             self.hold.lose_power(self.chance)
 
     def wipe(self) -> None:
         shutil.rmtree(self.folder)
         os.makedirs(self.folder)
-        self.hold.durable = {}
+        self.hold.state = SyncedState()
--- a/stoneyoke/storage/record_store.py
+++ b/stoneyoke/storage/record_store.py
@@ -2,21 +2,42 @@
 
 dbm.dumb rewrites its index in place, so a live one is never updated: a record is written whole under the next
 number, its files and its folder are synced, and only then it counts. A torn one is told by its digest and the one
-before it is read (DEPLOY, Disk: after a loss of power later writes are there, missing or torn)."""
+before it is read (DEPLOY, Disk: after a loss of power later writes are there, missing or torn, and each name made
+or removed since the folder's last sync is kept or lost by itself).
+
+What `load` gives is never older than the newest record whose `keep` returned, nor than what an earlier `load` gave:
+
+* Numbers rise within a process, and a start goes on above the highest name that it sees. A name that it does not see,
+  because it was removed, can come back only until the next sync of the folder, and no `keep` returns without one.
+* A record that was found after a kill may not be on the disk yet: `load` syncs it before it gives it.
+* Only what is missing or torn is passed over. A record that can't be read (no descriptor left, a read error) fails
+  the `load`, since the one before it would be too old.
+* A record is removed only when a newer one is synced, names included."""
 
 import contextlib
 import dbm.dumb
+import errno
 import os
 import re
+import threading
 from hashlib import blake2b
 
 PARTS = (".dat", ".dir", ".bak")
+SYNCED_PARTS = (".dat", ".dir")
 KEPT = 3  # of each family: the newest and those before it
 FORMAT = b"1"
+NO_SPACE = frozenset({errno.ENOSPC, errno.EDQUOT})
+# Opening or seeking fails so where a file is missing, is none, or its index tells of no place in it.
+TORN_ERRORS = frozenset({errno.ENOENT, errno.EISDIR, errno.ENOTDIR, errno.EINVAL})
+RECORD_FILE = re.compile(r"([a-z]+)-(0|[1-9][0-9]*)(\.dat|\.dir|\.bak)").fullmatch
 
 
 class StorageError(Exception):
-    """A record could not be written: the disk refuses, or is full."""
+    """A record could not be written or read: the disk refuses, or is full."""
+
+
+class TornRecord(StorageError):
+    """A record is not whole; its `keep` never returned."""
 
 
 def digest(record: dict[bytes, bytes]) -> bytes:
@@ -27,36 +48,71 @@
 
 
 class RecordStore:
-    """A folder of records in families. Every method blocks while the disk does."""
+    """A folder of records in families, for one process at a time. Every method blocks while the disk does; of calls in
+    several threads each waits for the one before it, and the newest is the one that was called last."""
 
     def __init__(self, folder: str) -> None:
         self.folder = folder
         os.makedirs(folder, exist_ok=True)
         self.next = 1 + max((number for _, number, _ in self.files()), default=0)
+        self.good: dict[str, list[int]] = {}  # by family: numbers known to be whole and synced, the last few
+        self.counting, self.writing = threading.Lock(), threading.Lock()
 
     def files(self) -> list[tuple[str, int, str]]:
         """Family, number and file name of all that is here."""
         found = []
         for name in os.listdir(self.folder):
-            if match := re.fullmatch(r"([a-z]+)-([0-9]+)(\.dat|\.dir|\.bak)", name):
+            if match := RECORD_FILE(name):
                 found.append((match[1], int(match[2]), name))
         return found
 
+    def numbers(self, family: str) -> list[int]:
+        """Of all files of a family, whole or not; the newest first."""
+        return sorted({number for name, number, _ in self.files() if name == family}, reverse=True)
+
+    def base(self, family: str, number: int) -> str:
+        return os.path.join(self.folder, f"{family}-{number}")
+
+    # ---- writing ----
+
     def keep(self, family: str, record: dict[bytes, bytes]) -> None:
-        """Written and synced, names and folder too, when this returns. Raises StorageError."""
-        number, self.next = self.next, self.next + 1
-        base = os.path.join(self.folder, f"{family}-{number}")
+        """Written and synced, names and folder too, when this returns. Raises StorageError: then a later `load` may
+        give this record or the one before it."""
+        with self.counting:
+            number, self.next = self.next, self.next + 1
+        with self.writing:
+            try:
+                self.write_or_make_room(family, number, record)
+            except OSError as bad:
+                self.drop(family, number)
+                raise StorageError(f"{family}-{number} could not be written: {bad}") from bad
+            self.good[family] = sorted([*self.good.get(family, ()), number])[-KEPT:]
+            self.tidy(family)
+
+    def write_or_make_room(self, family: str, number: int, record: dict[bytes, bytes]) -> None:
+        """A full disk gets a second try, with no more on it than is needed."""
         try:
-            with dbm.dumb.open(base, "n") as base_file:
-                for name, value in (record | {b"\x00digest": digest(record), b"\x00format": FORMAT}).items():
-                    base_file[name] = value
-            for part in (".dat", ".dir"):
-                self.sync(base + part)
-            self.sync(self.folder)
-        except (OSError, dbm.dumb.error) as bad:
+            self.write_files(family, number, record)
+            self.sync_record(family, number)
+        except OSError as bad:
+            if bad.errno not in NO_SPACE:
+                raise
             self.drop(family, number)
-            raise StorageError(f"{family}-{number} could not be written: {bad}") from bad
-        self.tidy(family)
+            self.make_room()
+            self.write_files(family, number, record)
+            self.sync_record(family, number)
+
+    def write_files(self, family: str, number: int, record: dict[bytes, bytes]) -> None:
+        base = self.base(family, number)
+        with dbm.dumb.open(base, "n") as base_file:
+            for name, value in (record | {b"\x00digest": digest(record), b"\x00format": FORMAT}).items():
+                base_file[name] = value
+        self.remove(base + ".bak")
+
+    def sync_record(self, family: str, number: int) -> None:
+        for part in SYNCED_PARTS:
+            self.sync(self.base(family, number) + part)
+        self.sync(self.folder)
 
     def sync(self, path: str) -> None:
         descriptor = os.open(path, os.O_RDONLY)
@@ -65,36 +121,63 @@
         finally:
             os.close(descriptor)
 
+    # ---- reading ----
+
     def load(self, family: str) -> tuple[dict[bytes, bytes] | None, list[str]]:
-        """The newest record that is whole, and what was wrong with those after it."""
+        """The newest record that is whole, and what was wrong with those after it. Raises StorageError where it can't
+        be told which that is, or the disk does not confirm it: what a killed process wrote may not be synced yet."""
         wrong: list[str] = []
-        for number in sorted({n for name, n, _ in self.files() if name == family}, reverse=True):
+        with self.writing:
             try:
-                return self.read(family, number), wrong
-            except StorageError as bad:
-                wrong.append(str(bad))
+                for number in self.numbers(family):
+                    try:
+                        record = self.read(family, number)
+                    except TornRecord as bad:
+                        wrong.append(str(bad))
+                        continue
+                    if number not in self.good.get(family, ()):
+                        self.sync_record(family, number)
+                        self.good[family] = [number]
+                    return record, wrong
+            except OSError as bad:
+                raise StorageError(f"{family} could not be loaded: {bad}") from bad
         return None, wrong
 
     def read(self, family: str, number: int) -> dict[bytes, bytes]:
-        """Raises StorageError where the record is torn."""
-        base = os.path.join(self.folder, f"{family}-{number}")
+        """Raises TornRecord where the record is not whole, StorageError where that can't be told."""
         try:
-            with dbm.dumb.open(base, "r") as base_file:
+            with dbm.dumb.open(self.base(family, number), "r") as base_file:
                 record = {bytes(name): base_file[name] for name in base_file.keys()}  # type: ignore[arg-type]
         except Exception as bad:  # a torn index is read as Python source: whatever that raises, it is torn
-            raise StorageError(f"{family}-{number} is torn: {bad}"[:200]) from bad
+            if isinstance(bad, MemoryError) or isinstance(bad, OSError) and bad.errno not in TORN_ERRORS:
+                raise StorageError(f"{family}-{number} could not be read: {bad}"[:200]) from bad
+            raise TornRecord(f"{family}-{number} is torn: {bad}"[:200]) from bad
         told, form = record.pop(b"\x00digest", b""), record.pop(b"\x00format", b"")
         if told != digest(record) or form != FORMAT:
-            raise StorageError(f"{family}-{number} is torn: its digest or format is another")
+            raise TornRecord(f"{family}-{number} is torn: its digest or format is another")
         return record
 
+    # ---- removing ----
+
     def tidy(self, family: str) -> None:
-        """Drops what is older than the last few. Names removed need no sync: at worst they come back."""
-        numbers = sorted({n for name, n, _ in self.files() if name == family})
-        for number in numbers[:-KEPT]:
-            self.drop(family, number)
+        """Drops all but the last few, with what failed or came back. Names removed need no sync: at worst they come
+        back, under lower numbers. Only called with a good record in the family."""
+        newest = self.good[family][-1]
+        with contextlib.suppress(OSError):
+            for number in self.numbers(family):
+                if number < newest and number not in self.good[family]:
+                    self.drop(family, number)
+
+    def make_room(self) -> None:
+        """Of each family that was kept or loaded here the newest good record stays, alone."""
+        for family, numbers in self.good.items():
+            self.good[family] = numbers[-1:]
+            self.tidy(family)
 
     def drop(self, family: str, number: int) -> None:
         for part in PARTS:
-            with contextlib.suppress(OSError):
-                os.remove(os.path.join(self.folder, f"{family}-{number}{part}"))
+            self.remove(self.base(family, number) + part)
+
+    def remove(self, path: str) -> None:
+        with contextlib.suppress(OSError):
+            os.remove(path)
