--- a/stoneyoke/transport/messages.py
+++ b/stoneyoke/transport/messages.py
@@ -282,10 +282,13 @@
 RESPONSES: dict[type, type] = {
     PullRequest: PullResponse,
     FetchRequest: FetchResponse,
-    StoreRequest: StoreResponse,
+    PrepareRequest: PrepareResponse,
+    AcceptRequest: AcceptResponse,
+    QueryRequest: QueryResponse,
+    ChosenNotice: ChosenNoticeResponse,
+    ValueRequest: ValueResponse,
     InstanceUpdate: InstanceUpdateResponse,
     InstanceRefresh: InstanceUpdateResponse,
-    Muster: Mustered,
     LeaseRequest: LeaseResponse,
     QuotaRequest: QuotaResponse,
 }
