stoneyokectl recover: begin again from one disk; records told by what they hold

Need: what to do when a majority of the voters is gone for good. Values in flight are settled by others only after several times a round, so that they don't rival it.

--- a/stoneyoke/controlplane/membership.py
+++ b/stoneyoke/controlplane/membership.py
@@ -14,7 +14,7 @@
 
 LOOK_S = 0.25
 CHANGE_S = 2.0  # one change of voters may take so long
-UNSETTLED_S = 0.5  # a value may be accepted and not known to be chosen for so long, then it is settled
+UNSETTLED_S = 0.4  # a value may be accepted and not known to be chosen for so long: several times a round
 
 
 class Membership:
@@ -62,7 +62,7 @@
             return False
         now = self.clock()
         if self.unsettled_at is None:
-            self.unsettled_at = now + UNSETTLED_S * self.chance.random() if chosen else now
+            self.unsettled_at = now + UNSETTLED_S * (1 + self.chance.random()) if chosen else now
         return now >= self.unsettled_at
 
     async def change(self) -> None:
--- a/stoneyoke/programs/stoneyokectl.py
+++ b/stoneyoke/programs/stoneyokectl.py
@@ -6,7 +6,8 @@
 stoneyokectl --core ADDRESS read              read it back
 stoneyokectl --core ADDRESS look              a core's view: versions, voters, gateways, backends, duty
 stoneyokectl --core ADDRESS watch VERSION     until every gateway in touch has it
-stoneyokectl hold FOLDER             what a core's data folder holds, and what in it is torn
+stoneyokectl records FOLDER             what a controller's data folder holds, and what in it is torn
+stoneyokectl --confirm recover FOLDER ADDRESS   a majority of the voters is gone for good: begin again from this disk
 """
 
 import http.client
@@ -19,6 +20,18 @@
 
 from absl import app, flags
 
+from stoneyoke.controlplane.consensus import NO_BALLOT, ReplicaId
+from stoneyoke.controlplane.record_formats import (
+    IDENTITY,
+    PROMISE,
+    REGISTER,
+    BadRecord,
+    read_identity,
+    read_promise,
+    read_register,
+    register_record,
+)
+from stoneyoke.controlplane.recovery import recovered
 from stoneyoke.storage.record_store import RecordStore, StorageError
 from stoneyoke.api.calls import addressed
 from stoneyoke.api.configuration import NUMBER, Configuration, read_configuration
@@ -27,6 +40,7 @@
 CORES = flags.DEFINE_list("core", [], "Addresses of core machines (control_addr), asked in turn.")
 AS_JSON = flags.DEFINE_bool("json", False, "Print one JSON object in place of lines.")
 WITHIN = flags.DEFINE_float("within", 10.0, "Seconds to go on trying.", lower_bound=0.1)
+CONFIRMED = flags.DEFINE_bool("confirm", False, "For recover: what only lost disks held is given up.")
 CALL_S = 2.0
 PAUSE_S = 0.2
 IN_TOUCH_S = 3.0
@@ -149,8 +163,8 @@
         f"lease of the quotas: {seen['keeper'] or '-'}",
     ]
     lines += [
-        f"controller {name}: {controller['version']}, {'votes' if controller['votes'] else 'no vote'}, silent {controller['silent_s']} s"
-        for name, controller in seen["controllers"].items()
+        f"controller {name}: {one['version']}, {'votes' if one['votes'] else 'no vote'}, silent {one['silent_s']} s"
+        for name, one in seen["controllers"].items()
     ]
     lines += [
         f"gateway {name}: {one['version']}, {'ready' if one['ready'] else 'not ready'}, silent {one['silent_s']} s"
@@ -180,28 +194,62 @@
     raise CommandError(f"{version} is not yet at: {', '.join(sorted(late))}")
 
 
-def hold(folder: str) -> None:
+def opened(folder: str) -> RecordStore:
     if not os.path.isdir(folder):
         raise CommandError(f"{folder} is no folder")
-    store = RecordStore(folder)
-    lines, whole = [], []
+    return RecordStore(folder)
+
+
+def told_of(family: str, record: dict[bytes, bytes]) -> str:
+    """What a whole record holds, in a few words. Raises BadRecord."""
+    if family == IDENTITY:
+        return f"disk {read_identity(record)}"
+    if family == PROMISE:
+        return f"ballot {read_promise(record).counter}"
+    if family == REGISTER:
+        held = read_register(record)
+        voters = ", ".join(f"{one.address}/{one.disk}" for one in held.value.voters.members)
+        return f"{held.value.version} under ballot {held.ballot.counter}, voters {held.value.voters.number}: {voters}"
+    return "of an earlier release"
+
+
+def records(folder: str) -> None:
+    store = opened(folder)
+    lines, found = [], []
     for family, number, name in sorted(store.files()):
         if not name.endswith(".dir"):
             continue
         try:
-            record = store.read(family, number)
-        except StorageError as bad:
-            lines.append(str(bad))
-            whole.append({"family": family, "number": number, "torn": True})
+            told = told_of(family, store.read(family, number))
+        except (StorageError, BadRecord) as bad:
+            lines.append(f"{family}-{number}: {bad}")
+            found.append({"family": family, "number": number, "torn": True})
             continue
-        told = (
-            str(read_configuration(record[b"body"]).version)
-            if b"body" in record
-            else "voters " + record[b"names"].decode()
-        )
         lines.append(f"{family}-{number}: whole, {told}")
-        whole.append({"family": family, "number": number, "torn": False, "holds": told})
-    say(lines or [f"{folder}: empty"], whole)
+        found.append({"family": family, "number": number, "torn": False, "holds": told})
+    say(lines or [f"{folder}: empty"], found)
+
+
+def recover(folder: str, address: str) -> None:
+    """The controller there must be stopped. Changes the newest record only by adding one."""
+    if not CONFIRMED.value:
+        raise CommandError("acknowledged changes that only lost disks held are lost by this: say so with --confirm")
+    store = opened(folder)
+    try:
+        held, identity, promise = (store.load(family)[0] for family in (REGISTER, IDENTITY, PROMISE))
+        if held is None or identity is None:
+            raise CommandError(f"{folder} holds no register")
+        promised = read_promise(promise) if promise else NO_BALLOT
+        survivor = ReplicaId(address, read_identity(identity))
+        register = recovered(read_register(held), promised, survivor)
+        store.keep(REGISTER, register_record(register))
+    except (StorageError, BadRecord) as bad:
+        raise CommandError(f"{folder}: {bad}") from bad
+    voters = register.value.voters
+    say(
+        [f"{register.value.version} is in force with {address} as the only voter (set {voters.number})"],
+        {"version": str(register.value.version), "voters": voters.number, "voter": address},
+    )
 
 
 JOBS: dict[str, tuple[Callable[..., None], int]] = {
@@ -211,7 +259,9 @@
     "read": (read_back, 0),
     "look": (look, 0),
     "watch": (watch, 1),
-    "hold": (hold, 1),
+    "records": (records, 1),
+    "hold": (records, 1),  # the release before named it so
+    "recover": (recover, 2),
 }
 
 
