Discovery service of its own; a controller is settled only when it must know every drain

Cause: after a restart a controller called itself settled once any settled peer was pulled, or after 3 s: that peer may lack a drain that a majority acknowledged. A drain whose telling was lost was masked for good by the word of the next heartbeat, which carries a higher call_seq. What has ended was forgotten after 60 s whatever could still be told of it, and kept without bound in number. A controller that stood still told and took what was old.

In the registry a drain holds over any call_seq, tombstones last 120 s and 4,096 at most, silent ones told are as old as they are, ends evict nobody from an address. The gateway's list is bounded alike.

--- /dev/null
+++ b/stoneyoke/controlplane/discovery_service.py
@@ -0,0 +1,202 @@
+"""Discovery at one controller: hears backends, tells other controllers, and says what a majority knows.
+
+What is decided stands in instance_registry and settlement; this file asks them and carries out. Heartbeats and leaves
+come in by `heartbeat` and `leave`, other controllers' tellings by `update`, `refresh` and `hear_rows`.
+
+A drain or leave is acknowledged once a majority of the voters has it in memory:
+
+* Answers are counted for COUNTING_S by the clock at the count, so also after this process stood still meanwhile. A
+  voter that answered and has restarted since is not settled, and becomes so only by pulls after that time: see
+  settlement. So its answer may be counted though what it knew is lost.
+* The voters are the same at the start of the telling and at its end; else nothing is acknowledged.
+* A process that stands still between its count and its answer: the backend takes an answer only within a second and
+  calls the next gateway then, so a late one acknowledges nothing. One inside that second tells what was true at the
+  count, and remains so: restarts after it do not matter to settlement. Others that still lack the drain are told all
+  the same, by this telling or by their pulls.
+* A process that stood still takes nothing for a while that others may have sent before, and says so."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from stoneyoke.api.calls import Acknowledged, Answer, Heartbeat, Leave, Unavailable
+from stoneyoke.controlplane.instance_registry import InstanceRegistry, Row, row_of
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.controlplane.settlement import COUNTING_S, Settlement
+from stoneyoke.transport.messages import InstanceRefresh, InstanceUpdate, InstanceUpdateResponse, Message
+from stoneyoke.transport.messages import Row as WireRow
+from stoneyoke.transport.peers import PeerUnreachable
+
+TELL_EVERY_S = 0.2
+SWEEP_EVERY_S = 0.25
+STOOD_STILL_S = 2.0  # a sweep as late as that means that the process stood still
+STALE_S = 1.0  # for so long after it what arrives may have been sent before
+
+
+class PeerLink(Protocol):
+    """The way to another controller."""
+
+    async def call(self, message: Message, within_s: float) -> Message:
+        """Its answer. Raises PeerUnreachable."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What discovery needs of its controller. voters: the addresses of the current ones; peers: by address; in_touch:
+    with a majority of the voters; changed: wakes whoever waits for news."""
+
+    own_address: str
+    voters: Callable[[], tuple[str, ...]]
+    peers: Callable[[], Mapping[str, PeerLink]]
+    in_touch: Callable[[], bool]
+    clock: Callable[[], float]
+    changed: Callable[[], None]
+    spawn: Callable[[Coroutine[Any, Any, Any]], asyncio.Task[Any]]
+
+
+class DiscoveryService:
+    """silent_s: see InstanceRegistry. everyone_beats_s, first_start: see Settlement."""
+
+    def __init__(
+        self, surroundings: Surroundings, *, silent_s: float, everyone_beats_s: float, first_start: bool
+    ) -> None:
+        self.surroundings, self.clock = surroundings, surroundings.clock
+        self.registry = InstanceRegistry(silent_s)
+        self.settlement = Settlement(surroundings.own_address, self.clock(), everyone_beats_s, first_start)
+        self.swept_at = self.clock()
+        self.stale_until = -1e9
+        self.told: dict[str, Row] = {}  # what other controllers were told of an instance last
+        self.heard: dict[str, None] = {}  # instances whose heartbeats came here since others were told
+
+    # ---- what backends say ----
+
+    async def heartbeat(self, beat: Heartbeat) -> Answer:
+        """One that says nothing new is acknowledged while this controller is in touch; a drain by a majority."""
+        if self.may_be_stale():
+            return Unavailable("stood still")
+        if self.registry.hear(row_of(beat), self.clock()):
+            self.surroundings.changed()
+        self.heard[beat.instance] = None
+        if beat.draining:
+            return await self.spread(self.registry.records[beat.instance].row)
+        return Acknowledged() if self.surroundings.in_touch() else Unavailable("cut off from most controllers")
+
+    async def leave(self, asked: Leave) -> Answer:
+        row = self.registry.leave(asked.instance, self.clock())
+        self.surroundings.changed()
+        return await self.spread(row)
+
+    async def spread(self, row: Row) -> Answer:
+        """What must not be lost with this controller is acknowledged once a majority knows it."""
+        if not self.surroundings.in_touch():
+            return Unavailable("cut off from most controllers")
+        voters = self.surroundings.voters()
+        known = await self.tell([row], voters)
+        if not voters or known < majority(len(voters)) or self.surroundings.voters() != voters:
+            return Unavailable("too few controllers know yet")
+        return Acknowledged()
+
+    # ---- telling other controllers ----
+
+    async def tell(self, rows: list[Row], voters: tuple[str, ...]) -> int:
+        """How many of the voters know of these, this controller included; not waiting once it is a majority. Those
+        left over are told all the same."""
+        begun_at, update = self.clock(), InstanceUpdate(list(rows))
+        known, enough = int(self.surroundings.own_address in voters), majority(len(voters) or 1)
+        waiting = {
+            self.surroundings.spawn(self.send(peer, update)): address
+            for address, peer in self.surroundings.peers().items()
+        }
+        while waiting and known < enough:
+            done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                address = waiting.pop(task)
+                known += address in voters and task.result() and self.clock() - begun_at <= COUNTING_S
+        return known
+
+    async def send(self, peer: PeerLink, message: InstanceUpdate | InstanceRefresh) -> bool:
+        """Whether the peer has taken it."""
+        with contextlib.suppress(PeerUnreachable):
+            answer = await peer.call(message, COUNTING_S)
+            return isinstance(answer, InstanceUpdateResponse) and answer.taken
+        return False
+
+    async def tell_often(self) -> None:
+        """Runs for as long as the process: what was heard goes on to the other controllers."""
+        while True:
+            await asyncio.sleep(TELL_EVERY_S)
+            names, self.heard = list(self.heard), {}
+            if names:
+                await self.tell_beats(self.registry.heard(names, self.clock()))
+            if len(self.told) > 2 * len(self.registry.records) + 100:
+                self.told.clear()
+
+    async def tell_beats(self, rows: list[Row]) -> None:
+        """Rows whole where they tell something new, else only that they were heard again."""
+        bare = [row._replace(call_seq=0, warm_s=float(row.warm_s > 0)) for row in rows]
+        new = [self.told.get(what.instance) != what for what in bare]
+        self.told |= {what.instance: what for what in bare}
+        if fresh := [row for row, is_new in zip(rows, new, strict=True) if is_new]:
+            await self.tell(fresh, self.surroundings.voters())
+        if again := [(row.instance, row.call_seq) for row, is_new in zip(rows, new, strict=True) if not is_new]:
+            for peer in self.surroundings.peers().values():
+                self.surroundings.spawn(self.send(peer, InstanceRefresh(again)))
+
+    # ---- what other controllers tell ----
+
+    def update(self, told: InstanceUpdate) -> InstanceUpdateResponse:
+        """What may have been sent long ago is not taken."""
+        if self.may_be_stale():
+            return InstanceUpdateResponse(False)
+        self.hear_rows(told.rows)
+        return InstanceUpdateResponse()
+
+    def refresh(self, told: InstanceRefresh) -> InstanceUpdateResponse:
+        if self.may_be_stale():
+            return InstanceUpdateResponse(False)
+        now = self.clock()
+        if any([self.registry.again(name, call_seq, now) for name, call_seq in told.beats]):
+            self.surroundings.changed()
+        return InstanceUpdateResponse()
+
+    def hear_rows(self, rows: Iterable[WireRow]) -> None:
+        """Rows that a pull or an update brought."""
+        now = self.clock()
+        if any([self.registry.hear(Row(*row), now) for row in rows]):
+            self.surroundings.changed()
+
+    def pulled_from(self, address: str, settled: bool, begun_at: float) -> None:
+        """To be called after each pull whose rows were heard whole; begun_at: when the request was sent."""
+        self.settlement.voters_are(self.surroundings.voters(), self.clock())
+        self.settlement.pulled_from(address, settled, begun_at)
+
+    # ---- time ----
+
+    async def sweep_often(self) -> None:
+        """Runs for as long as the process."""
+        while True:
+            await asyncio.sleep(SWEEP_EVERY_S)
+            self.sweep()
+
+    def sweep(self) -> None:
+        now, seq = self.clock(), self.registry.seq
+        if now - self.swept_at > STOOD_STILL_S:
+            self.stale_until = now + STALE_S
+        self.swept_at = now
+        self.settled()
+        self.registry.sweep(now)
+        if self.registry.seq > seq:
+            self.surroundings.changed()
+
+    def may_be_stale(self) -> bool:
+        """This process stood still a moment ago: what arrives may have waited at its door."""
+        now = self.clock()
+        return now < self.stale_until or now - self.swept_at > STOOD_STILL_S
+
+    def settled(self) -> bool:
+        """This controller knows each drain that was acknowledged, as far as settlement says."""
+        if self.may_be_stale() or not self.surroundings.in_touch():
+            self.settlement.apart(self.clock())
+        return self.settlement.decide(self.surroundings.voters(), self.clock())
--- a/stoneyoke/controlplane/instance_registry.py
+++ b/stoneyoke/controlplane/instance_registry.py
@@ -1,7 +1,11 @@
-"""Berths: the backends as one core knows them, from their own beats and from what other cores tell. Soft state.
+"""Backends as one controller knows them, from their own heartbeats and from what other controllers tell. Soft state.
 
-Of two tellings of one backend the one with the higher call_seq wins; gone wins over all. So the order in which
-cores hear of it does not matter."""
+Of two tellings of one backend the one with the higher call_seq wins; one that drains drains for good, whatever
+call_seq tells of it; gone wins over all. So the order in which controllers hear of it does not matter.
+
+What has ended is remembered for a while, so that a late telling does not bring it back. A telling is as old as
+FORGET_S at most: what has not been heard for so long is neither told nor kept. A backend's last heartbeat comes before
+its leave, so GONE_S, twice as long, covers each. Of the silent and the gone MOST_ENDED are kept, the last ones."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -10,7 +14,11 @@
 
 from stoneyoke.api.calls import Heartbeat
 
-FORGET_S = 60.0  # gone or silent for so long, it is dropped
+FORGET_S = 60.0  # silent for so long, it is dropped
+GONE_S = 2 * FORGET_S  # so long after it has left its tombstone is dropped
+MOST_ENDED = 4096
+SWEEP_S = 1.0  # nothing is told from a registry that was not swept for longer
+NO_ADDRESS = "0.0.0.0:1"
 
 
 class Phase(IntEnum):
@@ -60,6 +68,16 @@
     )
 
 
+def merged(old: Row, new: Row) -> Row:
+    """What two tellings of one backend come to; `old` itself where the new one adds nothing."""
+    if old.phase == Phase.GONE or new.phase == Phase.GONE:
+        return old if old.phase == Phase.GONE else new
+    newest = new if new.call_seq > old.call_seq else old
+    if Phase.DRAINING in (old.phase, new.phase) and newest.phase != Phase.DRAINING:
+        return newest._replace(phase=int(Phase.DRAINING))
+    return newest
+
+
 class InstanceRegistry:
     """silent_s: without a beat for so long, a record counts as silent."""
 
@@ -67,6 +85,7 @@
         self.silent_s = silent_s
         self.records: dict[str, InstanceRecord] = {}  # emptied by sweep()
         self.seq = 0  # rises with each change that others must hear of
+        self.swept_at = 0.0
 
     def changed(self, record: InstanceRecord) -> None:
         self.seq += 1
@@ -76,14 +95,20 @@
         """A beat, or another core's telling of one. Whether it is news for others."""
         record = self.records.get(row.instance)
         if record is None:
-            record = self.records[row.instance] = InstanceRecord(row, now, now)
-            self.evict(row, now)
+            # Told as silent, it has been so for a while: it is not remembered anew with each who hears of it.
+            heard_at = now - self.silent_s if row.phase == Phase.SILENT else now
+            record = self.records[row.instance] = InstanceRecord(row, heard_at, now)
+            if row.phase in (Phase.READY, Phase.DRAINING):
+                self.evict(row)
             self.changed(record)
             return True
         old = record.row
-        if old.phase == Phase.GONE or row.phase != Phase.GONE and row.call_seq <= old.call_seq:
+        row = merged(old, row)
+        if row is old:
             return False
-        record.row, record.heard_at, record.told_at = row, now, now
+        if row.call_seq > old.call_seq or row.phase == Phase.GONE:
+            record.heard_at = record.told_at = now
+        record.row = row
         # A beat that tells nothing new is no news: hundreds come in a second.
         if old._replace(call_seq=0, warm_s=0.0) == row._replace(call_seq=0, warm_s=0.0):
             return False
@@ -95,18 +120,18 @@
         record = self.records.get(instance)
         if record is None or record.row.phase == Phase.GONE or call_seq <= record.row.call_seq:
             return False
-        phase = Phase.READY if record.row.phase == Phase.SILENT else record.row.phase
+        phase = Phase.READY if record.row.phase == Phase.SILENT else Phase(record.row.phase)
         return self.hear(record.told(now)._replace(call_seq=call_seq, phase=int(phase)), now)
 
     def leave(self, instance: str, now: float) -> Row:
         """It has ended; what is told of it later is old."""
         record = self.records.get(instance)
-        row = record.row if record else Row(instance, "0.0.0.0:1", "", "", "", 0, 0, 0, 0.0)
+        row = record.row if record else Row(instance, NO_ADDRESS, "", "", "", 0, 0, 0, 0.0)
         row = row._replace(phase=int(Phase.GONE))
         self.hear(row, now)
         return row
 
-    def evict(self, row: Row, now: float) -> None:
+    def evict(self, row: Row) -> None:
         """An address has a new tenant: whoever was there before is silent; one that drained has drained for good."""
         for other in self.records.values():
             if (
@@ -118,16 +143,25 @@
                 self.changed(other)
 
     def sweep(self, now: float) -> None:
+        self.swept_at = now
         for name, record in list(self.records.items()):
-            quiet = now - record.heard_at
-            if quiet > FORGET_S:
+            if self.forgotten(record, now):
                 del self.records[name]
-            elif quiet > self.silent_s and record.row.phase == Phase.READY:
+            elif record.row.phase == Phase.READY and now - record.heard_at > self.silent_s:
                 record.row = record.row._replace(phase=int(Phase.SILENT))
                 self.changed(record)
+        ended = [one for one in self.records.values() if one.row.phase in (Phase.SILENT, Phase.GONE)]
+        if len(ended) > MOST_ENDED:
+            for record in sorted(ended, key=lambda one: one.heard_at)[:-MOST_ENDED]:
+                del self.records[record.row.instance]
+
+    def forgotten(self, record: InstanceRecord, now: float) -> bool:
+        return now - record.heard_at > (GONE_S if record.row.phase == Phase.GONE else FORGET_S)
 
     def since(self, seq: int, now: float) -> list[Row]:
-        """What has changed after seq."""
+        """What has changed after seq, as it is now: a process that stood still tells nothing from before."""
+        if now - self.swept_at > SWEEP_S:
+            self.sweep(now)
         return [record.told(now) for record in self.records.values() if record.seq > seq]
 
     def heard(self, names: Iterable[str], now: float) -> list[Row]:
--- a/stoneyoke/gateway/instance_directory.py
+++ b/stoneyoke/gateway/instance_directory.py
@@ -13,6 +13,8 @@
 
 TOUCH_S = 2.2  # more than a pull may be held, and what it takes to open a connection again
 DROP_S = 20.0  # silent by all cores in touch for so long, a backend is dropped
+GONE_S = 300.0  # longer than any controller remembers (instance_registry)
+MOST_GONE = 4096  # as many as a controller remembers
 
 
 @dataclass(slots=True)
@@ -107,8 +109,9 @@
             if instance_known.doubted_at is not None and now - instance_known.doubted_at > DROP_S:
                 del self.known[name]
                 self.turn += 1
-        for name in [one for one, at in self.gone.items() if now - at > 300]:
-            del self.gone[name]
+        over = len(self.gone) - MOST_GONE
+        for name in [one for at, one in enumerate(self.gone) if at < over or now - self.gone[one] > GONE_S]:
+            del self.gone[name]  # in the order in which they went
 
     # ---- cores and gateways ----
 
--- a/stoneyoke/transport/messages.py
+++ b/stoneyoke/transport/messages.py
@@ -110,7 +110,9 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceUpdateResponse:
-    pass
+    """taken: it is known here now; not where it may have waited while the process stood still."""
+
+    taken: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/system/test_discovery_service.py
@@ -0,0 +1,284 @@
+"""Discovery at a controller without its register: links that answer as told, a clock by hand, no waiting."""
+
+import asyncio
+
+from controller_cluster import SimulatedLoop
+from ward import test
+
+from stoneyoke.api.calls import Acknowledged, Heartbeat, Leave, Unavailable
+from stoneyoke.controlplane.discovery_service import (
+    STALE_S,
+    STOOD_STILL_S,
+    SWEEP_EVERY_S,
+    DiscoveryService,
+    Surroundings,
+)
+from stoneyoke.controlplane.instance_registry import Phase
+from stoneyoke.controlplane.settlement import COUNTING_S, MARGIN_S, Settlement
+from stoneyoke.transport.messages import InstanceRefresh, InstanceUpdate, InstanceUpdateResponse
+from stoneyoke.transport.peers import PeerUnreachable
+
+EVERYONE_S = 4.0
+COUNTED_S = COUNTING_S + MARGIN_S
+
+
+class Link:
+    """A controller's way to another one: `meet` answers, after delay_s."""
+
+    def __init__(self, meet):
+        self.meet, self.delay_s, self.lost, self.carried = meet, 0.0, (), []
+
+    async def call(self, message, within_s):
+        self.carried.append(type(message))
+        await asyncio.sleep(min(self.delay_s, within_s))
+        if self.delay_s > within_s or type(message) in self.lost:
+            raise PeerUnreachable("no answer")
+        return self.meet(message)
+
+
+class Town:
+    """Discovery at several controllers, each with links to all others. ahead_s: by how much a clock stood still."""
+
+    def __init__(self, count, first_start=True):
+        self.names = [f"10.0.0.{at}" for at in range(1, count + 1)]
+        self.voters, self.in_touch, self.ahead_s = tuple(self.names), True, 0.0
+        self.tasks, self.services, self.links = set(), {}, {}
+        for name in self.names:
+            self.start(name, first_start)
+
+    def clock(self):
+        return asyncio.get_running_loop().time() + self.ahead_s
+
+    def start(self, name, first_start=False):
+        links = {other: Link(lambda message, other=other: self.meet(other, message)) for other in self.names}
+        del links[name]
+        self.links[name] = links
+        self.services[name] = DiscoveryService(
+            Surroundings(
+                name,
+                lambda: self.voters,
+                lambda: links,
+                lambda: self.in_touch,
+                self.clock,
+                lambda: None,
+                self.spawn,
+            ),
+            silent_s=5.0,
+            everyone_beats_s=EVERYONE_S,
+            first_start=first_start,
+        )
+        return self.services[name]
+
+    def spawn(self, work):
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def meet(self, name, message):
+        service = self.services[name]
+        return service.update(message) if isinstance(message, InstanceUpdate) else service.refresh(message)
+
+    def pull(self, name, other):
+        """A whole pull, as a controller makes it."""
+        begun_at, source = self.clock(), self.services[other]
+        self.services[name].hear_rows(source.registry.since(0, self.clock()))
+        self.services[name].pulled_from(other, source.settled(), begun_at)
+
+    async def passes(self, for_s):
+        """Time in which all sweep."""
+        until = self.clock() + for_s
+        while self.clock() < until:
+            await asyncio.sleep(SWEEP_EVERY_S)
+            for service in self.services.values():
+                service.sweep()
+
+
+def play(story, count=3, first_start=True):
+    async def whole():
+        town = Town(count, first_start)
+        await story(town)
+        if town.tasks:
+            await asyncio.wait(town.tasks)
+
+    loop = SimulatedLoop()
+    try:
+        loop.run_until_complete(whole())
+    finally:
+        loop.close()
+
+
+def beat(call_seq=1, draining=False, instance="i-1"):
+    return Heartbeat(instance, "10.0.1.1:80", "tide", "v1", "east", 2, draining, call_seq, 0.0)
+
+
+@test("a drain is acknowledged once a majority of the voters has it, and only then")
+def _():
+    async def story(town):
+        one, links = town.services["10.0.0.1"], town.links["10.0.0.1"]
+        assert await one.heartbeat(beat()) == Acknowledged()
+        for other in ("10.0.0.2", "10.0.0.3"):
+            links[other].lost = (InstanceUpdate,)
+        assert isinstance(await one.heartbeat(beat(2, True)), Unavailable)
+        links["10.0.0.3"].lost = ()
+        assert await one.heartbeat(beat(3, True)) == Acknowledged()
+        assert town.services["10.0.0.3"].registry.records["i-1"].row.phase == Phase.DRAINING
+        town.voters = ("10.0.0.1", "10.0.0.2")  # the third has it, and does not vote
+        assert isinstance(await one.leave(Leave("i-1")), Unavailable)
+        town.in_touch = False
+        links["10.0.0.2"].lost = ()
+        assert isinstance(await one.leave(Leave("i-1")), Unavailable)
+        town.in_touch = True
+        assert await one.leave(Leave("i-1")) == Acknowledged()
+
+    play(story)
+
+
+@test("an answer that comes after the process stood still is not counted, nor one under other voters")
+def _():
+    async def story(town):
+        one, links = town.services["10.0.0.1"], town.links["10.0.0.1"]
+
+        def stands_still(message):
+            town.ahead_s += COUNTING_S + 0.1
+            return InstanceUpdateResponse()
+
+        meet = links["10.0.0.2"].meet
+        links["10.0.0.3"].lost = (InstanceUpdate,)
+        links["10.0.0.2"].meet = stands_still
+        assert isinstance(await one.heartbeat(beat(2, True)), Unavailable)
+
+        def voters_change(message):
+            town.voters = ("10.0.0.1", "10.0.0.2", "10.0.0.4")
+            return meet(message)
+
+        links["10.0.0.2"].meet = voters_change
+        assert isinstance(await one.heartbeat(beat(3, True)), Unavailable)
+        assert await one.heartbeat(beat(4, True)) == Acknowledged()
+
+    play(story)
+
+
+@test("a process that stood still takes no telling and no heartbeat for a while: they may have waited for it")
+def _():
+    async def story(town):
+        one = town.services["10.0.0.1"]
+        await town.services["10.0.0.2"].heartbeat(beat())
+        row = town.services["10.0.0.2"].registry.records["i-1"].row
+        town.ahead_s += STOOD_STILL_S + 0.1
+        for _ in range(2):  # before its first sweep and after it
+            assert one.update(InstanceUpdate([row])) == InstanceUpdateResponse(False)
+            assert one.refresh(InstanceRefresh([("i-1", 9)])) == InstanceUpdateResponse(False)
+            assert isinstance(await one.heartbeat(beat()), Unavailable)
+            assert not one.registry.records
+            one.sweep()
+        assert isinstance(await town.services["10.0.0.2"].heartbeat(beat(2, True)), Unavailable)
+        await town.passes(STALE_S + 0.1)
+        assert one.update(InstanceUpdate([row])) == InstanceUpdateResponse(True)
+
+    play(story)
+
+
+@test("what was told whole is told again in short; what changed is told whole again")
+def _():
+    async def story(town):
+        one, link = town.services["10.0.0.1"], town.links["10.0.0.1"]["10.0.0.2"]
+        for call_seq in (1, 2, 3):
+            await one.heartbeat(beat(call_seq))
+            await one.tell_beats(one.registry.heard(["i-1"], town.clock()))
+        await one.heartbeat(beat(4, True))
+        await one.tell_beats(one.registry.heard(["i-1"], town.clock()))
+        await asyncio.sleep(0.1)
+        assert link.carried == [InstanceUpdate, InstanceRefresh, InstanceRefresh, InstanceUpdate, InstanceUpdate]
+        assert town.services["10.0.0.2"].registry.records["i-1"].row.call_seq == 4
+
+    play(story)
+
+
+@test("a controller that started again is not settled by one settled peer: that one may lack a drain")
+def _():
+    async def story(town):
+        one, links = town.services["10.0.0.1"], town.links["10.0.0.1"]
+        links["10.0.0.3"].lost = (InstanceUpdate,)
+        assert await one.heartbeat(beat(2, True)) == Acknowledged()  # 1 and 2 have it, 3 does not
+        again = town.start("10.0.0.2")
+        await town.passes(COUNTED_S)
+        town.pull("10.0.0.2", "10.0.0.3")
+        assert not again.settled() and not again.registry.records
+        town.pull("10.0.0.2", "10.0.0.1")
+        assert again.settled() and again.registry.records["i-1"].row.phase == Phase.DRAINING
+
+    play(story)
+
+
+@test("pulls count only from those that are settled and vote, and not while a telling to the last life may be counted")
+def _():
+    async def story(town):
+        again = town.start("10.0.0.1")
+        for other in ("10.0.0.2", "10.0.0.3"):
+            town.pull("10.0.0.1", other)  # at once: too early
+        assert not again.settled()
+        await town.passes(COUNTED_S)
+        town.pull("10.0.0.1", "10.0.0.2")
+        again.pulled_from("10.0.0.9", True, town.clock())
+        again.pulled_from("10.0.0.3", False, town.clock())
+        assert not again.settled()
+        again.pulled_from("10.0.0.3", True, town.clock())
+        assert again.settled()
+
+    play(story)
+
+
+@test("five voters: one that answered and started again before the count was done still learns of the drain")
+def _():
+    async def story(town):
+        one, links = town.services["10.0.0.1"], town.links["10.0.0.1"]
+        for other in ("10.0.0.4", "10.0.0.5"):
+            links[other].lost = (InstanceUpdate,)
+        links["10.0.0.3"].delay_s = 0.5
+        counting = town.spawn(one.heartbeat(beat(2, True)))
+        await asyncio.sleep(0.1)
+        assert town.services["10.0.0.2"].registry.records  # it has answered, and now it ends
+        again = town.start("10.0.0.2")
+        for other in ("10.0.0.3", "10.0.0.4", "10.0.0.5"):
+            town.pull("10.0.0.2", other)
+        assert await counting == Acknowledged()
+        assert not again.settled()
+        await town.passes(COUNTED_S)
+        for other in ("10.0.0.3", "10.0.0.4", "10.0.0.5"):
+            town.pull("10.0.0.2", other)
+        assert again.settled() and again.registry.records["i-1"].row.phase == Phase.DRAINING
+
+    play(story, count=5)
+
+
+@test("with nobody settled to pull from, it takes the time in which every backend beats, all of it in touch")
+def _():
+    async def story(town):
+        one = town.services["10.0.0.1"]
+        await town.passes(EVERYONE_S - 1.0)
+        town.pull("10.0.0.1", "10.0.0.2")
+        town.pull("10.0.0.1", "10.0.0.3")
+        assert not one.settled()
+        town.in_touch = False
+        await town.passes(0.5)
+        town.in_touch = True
+        await town.passes(EVERYONE_S - 0.5)
+        assert not one.settled()
+        town.ahead_s += EVERYONE_S  # it stood still: it heard nobody meanwhile
+        assert not one.settled()
+        await town.passes(EVERYONE_S + STALE_S + 2 * SWEEP_EVERY_S)
+        assert one.settled()
+
+    play(story, first_start=False)
+
+
+@test("the system's first start is settled at once; who becomes a voter while it runs starts over")
+def _():
+    settlement = Settlement("d", 0.0, EVERYONE_S, True)
+    assert settlement.decide((), 0.0) and settlement.decide(("a", "b", "c"), 1.0)
+    assert not settlement.decide(("a", "b", "d"), 9.0)
+    for name in "ab":
+        settlement.pulled_from(name, True, 9.0 + COUNTED_S)
+    assert settlement.decide(("a", "b", "d"), 10.0)
+    assert not Settlement("a", 0.0, EVERYONE_S, False).decide((), 99.0)  # who votes is not known
