Simulation split into modules; freezing, exchanges, lost answers, register history

Machines, operators, backends, tenants, faults, judge and invariants stand in modules of their own, faults and orders are typed records. A machine can be frozen at any await. The judge checks reads, acknowledgements and gateways as the history of one register, orders for an answer within 5 s of calm, refusals of controllers that are cut off for their time.

--- a/stoneyoke/lab/simulation/__main__.py
+++ b/stoneyoke/lab/simulation/__main__.py
@@ -1,7 +1,7 @@
-"""Trials of the whole control plane in simulated time.
+"""Simulations of the whole control plane in simulated time.
 
-python -m stoneyoke.lab.simulation run --seeds 0-399      # voyages from seeds; exit code 1 if any breaks something
-python -m stoneyoke.lab.simulation show 32                # one voyage: its plan, what happened, what broke
+python -m stoneyoke.lab.simulation run --seeds 0-399      # scenarios from seeds; exit code 1 if any breaks something
+python -m stoneyoke.lab.simulation show 32                # one scenario: its plan, what happened, what broke
 python -m stoneyoke.lab.simulation reduce 32              # the smallest plan found that still breaks, as JSON
 python -m stoneyoke.lab.simulation replay FILE...         # plans kept as files
 python -m stoneyoke.lab.simulation seeded_defects --seeds 0-99   # each with the first scenario that finds it
@@ -18,14 +18,17 @@
 
 
 from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS, seeded
-from stoneyoke.lab.simulation.plans import make_plan, read_plan, reduce
-from stoneyoke.lab.simulation.runs import count, sail, sail_many, sail_seed
-from stoneyoke.lab.simulation.scenario import Outcome, Scenario
+from stoneyoke.lab.simulation.bounds import START_S
+from stoneyoke.lab.simulation.judge import Outcome
+from stoneyoke.lab.simulation.plans import read_plan, reduce
+from stoneyoke.lab.simulation.random_plans import make_plan
+from stoneyoke.lab.simulation.runs import count, play, play_many, play_seed
+from stoneyoke.lab.simulation.scenario import Scenario
 
 SEEDS = flags.DEFINE_string("seeds", "0-199", "The first and the last seed, or one.")
-JOBS = flags.DEFINE_integer("jobs", os.cpu_count() or 1, "Voyages at once.", lower_bound=1)
+JOBS = flags.DEFINE_integer("jobs", os.cpu_count() or 1, "Scenarios at once.", lower_bound=1)
 DEPTH = flags.DEFINE_integer("depth", 0, "Of the exhaustive check, in steps; 0: each world's own.", lower_bound=0)
-MUTANT = flags.DEFINE_string("mutant", "", "A defect seeded into the logic, for show, reduce and replay.")
+DEFECT = flags.DEFINE_string("defect", "", "A defect seeded into the logic, for show, reduce and replay.")
 JSON = flags.DEFINE_bool("json", False, "Results as JSON.")
 
 
@@ -39,12 +42,12 @@
 
 
 def run() -> int:
-    tally = count(sail_many(seeds(), JOBS.value))
+    tally = count(play_many(seeds(), JOBS.value))
     if JSON.value:
         print(
             json.dumps(
                 {
-                    "voyages": tally.voyages,
+                    "scenarios": tally.scenarios,
                     "broken": {one.seed: one.broken for one in tally.broken},
                     "met": tally.met,
                     "trace": tally.trace,
@@ -62,41 +65,39 @@
 
 
 def show(seed: str) -> int:
-    voyage = Scenario(make_plan(int(seed)))
-    voyage.judge.says = lambda now, what: print(f"{now - 1000:9.3f} {what}")
-    print(voyage.plan.text())
-    with seeded(MUTANT.value):
-        outcome = voyage.play()
+    scenario = Scenario(make_plan(int(seed)))
+    scenario.judge.says = lambda now, what: print(f"{now - START_S:9.3f} {what}")
+    print(scenario.plan.text())
+    with seeded(DEFECT.value):
+        outcome = scenario.play()
     print("\n".join(outcome.broken) or "nothing broke")
     return bool(outcome.broken)
 
 
 def reduced(seed: str) -> int:
     plan = make_plan(int(seed))
-    first = sail(plan, MUTANT.value).broken
+    first = play(plan, DEFECT.value).broken
     if not first:
         print("nothing breaks", file=sys.stderr)
         return 2
     kind = first[0].partition(": ")[2].split(":")[0].split(" 10.")[0]
-    print(reduce(plan, lambda other: any(kind in line for line in sail(other, MUTANT.value).broken)).text())
+    print(reduce(plan, lambda other: any(kind in line for line in play(other, DEFECT.value).broken)).text())
     return 0
 
 
 def replay(*files: str) -> int:
     broken = 0
     for file in files:
-        outcome = sail(read_plan(Path(file).read_text()), MUTANT.value)
+        outcome = play(read_plan(Path(file).read_text()), DEFECT.value)
         print(f"{file}: {'; '.join(outcome.broken[:3]) or 'nothing broke'}")
         broken += bool(outcome.broken)
     return bool(broken)
 
 
 def find(name: str, among: range) -> tuple[str, str]:
-    """By which voyage, or world, a seeded defect is found, and as what; an empty text: by none."""
-    if broken := exhaustive.found(name):
-        return name, f"check: {broken}"
+    """By which scenario a seeded defect is found, and as what; an empty text: by none."""
     for seed in among:
-        if (outcome := sail_seed(seed, name)).broken:
+        if (outcome := play_seed(seed, name)).broken:
             return name, told(outcome)
     return name, ""
 
@@ -111,6 +112,8 @@
 
 
 def check() -> int:
+    from stoneyoke.lab.simulation import exhaustive
+
     return exhaustive.report(DEPTH.value)
 
 
@@ -127,7 +130,7 @@
 def main(argv: list[str]) -> None:
     command = COMMANDS.get(argv[1] if len(argv) > 1 else "run")
     if command is None:
-        print(f"trials: {argv[1]!r} is none of {', '.join(COMMANDS)}", file=sys.stderr)
+        print(f"simulation: {argv[1]!r} is none of {', '.join(COMMANDS)}", file=sys.stderr)
         sys.exit(2)
     sys.exit(command(*argv[2:]))  # type: ignore[operator]
 
--- /dev/null
+++ b/stoneyoke/lab/simulation/backends.py
@@ -0,0 +1,86 @@
+"""Backends: one life after another at one address. They beat, drain, leave, or just end."""
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from stoneyoke.api.calls import Acknowledged, ask
+from stoneyoke.lab.simulation.bounds import BEAT_S
+from stoneyoke.lab.simulation.judge import Drained
+
+if TYPE_CHECKING:
+    from stoneyoke.lab.simulation.scenario import Scenario
+
+TRIES = 3
+DRAIN_S = 3.0  # between its drain and its end
+PAUSE_S = 2.0  # between two lives
+
+
+def heartbeat_text(address: str, phase: str, call_seq: int) -> bytes:
+    return json.dumps(
+        {
+            "address": address,
+            "details": {"target_service": "orders", "capacity": 2},
+            "observed": {"phase": phase, "call_seq": call_seq},
+        }
+    ).encode()
+
+
+class BackendLife:
+    """One life of a backend."""
+
+    def __init__(self, scenario: "Scenario", name: str, address: str) -> None:
+        self.scenario, self.name, self.address, self.call_seq = scenario, name, address, 0
+
+    async def beat(self, phase: str) -> bool:
+        """Whether it was acknowledged."""
+        names = self.scenario.outside.choices()
+        for name in (names * TRIES)[:TRIES]:
+            self.call_seq += 1
+            body = heartbeat_text(self.address, phase, self.call_seq)
+            said = await self.scenario.outside.call(name, ask("POST", f"/instances/{self.name}/heartbeat", body))
+            if said == Acknowledged():
+                if phase == "draining":
+                    self.scenario.faults.acknowledged("after_drain", name)
+                return True
+        return False
+
+    async def beat_until(self, ends_at: float) -> None:
+        while self.scenario.now() < ends_at:
+            await self.beat("ready")
+            await asyncio.sleep(BEAT_S * self.scenario.chance.uniform(0.9, 1.1))
+
+    async def drain(self, then_s: float = DRAIN_S) -> None:
+        scenario = self.scenario
+        if await self.beat("draining"):
+            scenario.judge.drained.append(Drained(scenario.now(), self.name))
+            scenario.judge.note(scenario.now(), f"{self.name} drains")
+            scenario.met["drains"] += 1
+        await asyncio.sleep(then_s)
+        name = scenario.outside.choices()[0]
+        await scenario.outside.call(name, ask("POST", f"/instances/{self.name}/leave", b""))
+
+
+async def live_on(scenario: "Scenario", at: int) -> None:
+    """Backends at one address, for as long as the scenario takes."""
+    number = 0
+    while True:
+        number += 1
+        life = BackendLife(scenario, f"i-{at}-{number}", f"10.9.0.{at + 1}:80")
+        await life.beat_until(scenario.now() + scenario.chance.uniform(3, 25))
+        if scenario.chance.random() < 0.7:
+            await life.drain()
+        await asyncio.sleep(PAUSE_S)
+
+
+async def come_and_go(scenario: "Scenario", count: int, at_once: int = 20) -> None:
+    """Instances that beat once, drain and leave, each with an address of its own."""
+
+    async def several(first: int) -> None:
+        for number in range(first, count, at_once):
+            life = BackendLife(scenario, f"short-{number}", f"10.8.{number // 250}.{number % 250 + 1}:80")
+            await life.beat("ready")
+            await life.drain(0.0)
+            scenario.met["instances come and gone"] += 1
+
+    await asyncio.gather(*(several(first) for first in range(at_once)))
--- a/stoneyoke/lab/simulation/clock.py
+++ b/stoneyoke/lab/simulation/clock.py
@@ -1,18 +1,45 @@
-"""An event loop whose time is simulated."""
+"""An event loop whose time is simulated, and on which single machines can be frozen."""
 
 import asyncio
+import contextvars
+import heapq
+from collections import deque
 from typing import Any
 
-
 STILL_TURNS = 200_000  # without time passing: somebody waits for nothing, again and again
+MACHINE: contextvars.ContextVar[str] = contextvars.ContextVar("machine", default="")  # where a task or timer runs
+
+
+class StepHandle(asyncio.Handle):
+    """One step. It waits while the machine that it belongs to is frozen."""
+
+    __slots__ = ()
+
+    def _run(self) -> None:
+        if not self._loop.park(self):  # type: ignore[attr-defined]
+            super()._run()
+
+
+class TimerStepHandle(asyncio.TimerHandle):
+    """The same for a timer: time passes for a frozen machine, and it learns so once it is thawed."""
+
+    __slots__ = ()
+
+    def _run(self) -> None:
+        if not self._loop.park(self):  # type: ignore[attr-defined]
+            super()._run()
 
 
 class SimulatedLoop(asyncio.SelectorEventLoop):
-    """Time passes only when nothing is left to do, and then at once: nothing waits."""
+    """Time passes only when nothing is left to do, and then at once: nothing waits.
+
+    frozen: the steps that wait, by machine. A frozen machine stands still at whatever await it had reached, between a
+    check and what rests on it too: its timers, messages and writes are delivered after the thaw, in their order."""
 
     def __init__(self) -> None:
         super().__init__()
         self.now, self.turns = 1000.0, 0
+        self.frozen: dict[str, deque[asyncio.Handle]] = {}
         real = self._selector.select  # type: ignore[attr-defined]
 
         def jump(timeout: float | None) -> Any:
@@ -31,3 +58,30 @@
 
     def time(self) -> float:
         return self.now
+
+    def freeze(self, machine: str) -> None:
+        self.frozen.setdefault(machine, deque())
+
+    def thaw(self, machine: str) -> None:
+        self._ready.extend(self.frozen.pop(machine, ()))  # type: ignore[attr-defined]
+
+    def park(self, handle: asyncio.Handle) -> bool:
+        """Whether this step has to wait for a thaw."""
+        if not self.frozen:
+            return False
+        waiting = self.frozen.get(handle._context.get(MACHINE, ""))  # type: ignore[attr-defined]
+        if waiting is None:
+            return False
+        waiting.append(handle)
+        return True
+
+    def _call_soon(self, callback: Any, args: Any, context: Any) -> asyncio.Handle:
+        handle = StepHandle(callback, args, self, context)
+        self._ready.append(handle)  # type: ignore[attr-defined]
+        return handle
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> asyncio.TimerHandle:  # type: ignore[override]
+        timer = TimerStepHandle(when, callback, args, self, context)
+        heapq.heappush(self._scheduled, timer)  # type: ignore[attr-defined]
+        timer._scheduled = True  # type: ignore[attr-defined]
+        return timer
--- /dev/null
+++ b/stoneyoke/lab/simulation/faults.py
@@ -0,0 +1,274 @@
+"""What goes wrong in a scenario, by the faults of its plan."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from stoneyoke.controlplane.quorum import majority
+from stoneyoke.lab.simulation.bounds import BOUNDS
+from stoneyoke.lab.simulation.clock import SimulatedLoop
+from stoneyoke.lab.simulation.machines import ControllerMachine, GatewayMachine, simulated_loop
+from stoneyoke.lab.simulation.network import Trap
+from stoneyoke.lab.simulation.plans import Fault
+
+if TYPE_CHECKING:
+    from stoneyoke.lab.simulation.scenario import Scenario
+
+LEAVE_S = 0.5 * BOUNDS["grace_s"]  # as the program gives it
+STRIKE_WITHIN_S = 0.004  # after an acknowledgement
+LOSES_DISK = ("wipe", "wipe_some", "exchange")
+
+
+class Faults:
+    """armed: what strikes the controller that acknowledges next, by the kind of the acknowledgement."""
+
+    def __init__(self, scenario: "Scenario") -> None:
+        self.scenario, self.judge, self.network = scenario, scenario.judge, scenario.network
+        self.armed: dict[str, Fault] = {}
+        self.kinds: dict[str, Callable[[Fault], Awaitable[None]]] = {
+            "kill": self.down,
+            "power": self.lose_power,
+            "wipe": self.wipe,
+            "wipe_some": self.wipe_some,
+            "restart_gateways": self.down,
+            "all_controllers": self.down,
+            "kill_all": self.down,
+            "power_all": self.lose_power,
+            "lease_holder": self.kill_lease_holder,
+            "sigterm": self.end_in_order,
+            "exchange": self.exchange,
+            "remove": self.remove,
+            "return": self.come_back,
+            "join": self.join,
+            "cut": self.cut,
+            "cut_gateways": self.cut,
+            "hold": self.hold,
+            "freeze": self.freeze,
+            "disk": self.trouble_disk,
+            "late": self.make_late,
+            "answers_lost": self.lose_answers,
+            "at_message": self.strike_at_message,
+            "after_ack": self.arm,
+            "after_drain": self.arm,
+            "shift": self.shift,
+        }
+
+    async def strike(self, fault: Fault) -> None:
+        """Losses of disks keep to the tolerance: beyond it, the power goes only."""
+        controllers = [name for name in fault.who if name in self.scenario.controllers]
+        now = self.scenario.now()
+        if fault.kind in LOSES_DISK and not self.judge.may_lose(controllers, now):
+            self.judge.note(now, f"{fault.kind} {fault.who} is more than is to be borne")
+            fault = replace(fault, kind="power")
+        self.judge.note(now, f"{fault.kind} {fault.how or ''} {list(fault.who)}")
+        self.scenario.met[fault.kind] += 1
+        await self.kinds[fault.kind](fault)
+
+    def acknowledged(self, kind: str, name: str) -> None:
+        if fault := self.armed.pop(kind, None):
+            after = self.scenario.chance.uniform(0, STRIKE_WITHIN_S)
+            self.network.run_on("", self.strike_later(replace(fault, kind=fault.how, how="", who=(name,)), after))
+
+    async def strike_later(self, fault: Fault, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self.strike(fault)
+
+    # ---- who is disturbed ----
+
+    def machine(self, name: str) -> ControllerMachine | GatewayMachine:
+        return self.scenario.controllers.get(name) or self.scenario.gateways[name]
+
+    def disturb(self, names: tuple[str, ...], for_s: float) -> None:
+        now = self.scenario.now()
+        for name in names:
+            if name in self.scenario.controllers:
+                self.judge.disturb_controller(name, now, now + for_s)
+            else:
+                self.judge.disturb_gateway(name, now + for_s)
+
+    # ---- ends of processes ----
+
+    async def down(self, fault: Fault, power: bool | None = None, wiped: tuple[str, ...] = ()) -> None:
+        power = fault.power if power is None else power
+        up = tuple(name for name in fault.who if self.machine(name).up())
+        self.disturb(up, fault.for_s + 0.3)
+        for name in up:
+            self.machine(name).end(power)
+            if name in wiped:
+                self.scenario.controllers[name].wipe()
+        await asyncio.sleep(fault.for_s)
+        for name in up:
+            await self.start_again(name)
+
+    async def start_again(self, name: str) -> None:
+        machine = self.machine(name)
+        if machine.up() or isinstance(machine, ControllerMachine) and machine.removed:
+            return
+        self.disturb((name,), 0.0)
+        await machine.start(first=False)
+        self.disturb((name,), 0.0)
+
+    async def lose_power(self, fault: Fault) -> None:
+        await self.down(fault, power=True)
+
+    async def wipe(self, fault: Fault) -> None:
+        await self.down(fault, power=True, wiped=fault.who)
+
+    async def wipe_some(self, fault: Fault) -> None:
+        """Disks are lost, at times while all other controllers lose power."""
+        others = tuple(name for name in self.scenario.controllers if name not in fault.who)
+        everyone = self.scenario.chance.random() < 0.5
+        await self.down(replace(fault, who=fault.who + others if everyone else fault.who), power=True, wiped=fault.who)
+
+    async def kill_lease_holder(self, fault: Fault) -> None:
+        machines = self.scenario.controllers.items()
+        holders = tuple(name for name, one in machines if one.controller and one.controller.lease.allocator)
+        await self.down(replace(fault, who=holders))
+
+    async def end_in_order(self, fault: Fault) -> None:
+        """SIGTERM: it may hand over, then its process ends; it starts again with its disk."""
+        machine = self.scenario.controllers[fault.who[0]]
+        if controller := machine.controller:
+            self.disturb(fault.who, LEAVE_S + fault.for_s)
+            machine.leaving = True
+            await self.ask_to_leave(machine)
+            if machine.controller is controller:
+                await self.down(fault)
+
+    async def ask_to_leave(self, machine: ControllerMachine) -> None:
+        if machine.controller:
+            await asyncio.wait([self.network.run_on(machine.name, machine.controller.leave(LEAVE_S))])
+
+    # ---- machines that come and go ----
+
+    async def remove(self, fault: Fault) -> None:
+        """Taken away for good. It counts as lost until its successor has caught up."""
+        for name in fault.who:
+            machine = self.scenario.controllers[name]
+            if machine.up():
+                self.disturb((name,), 1e9 if fault.kind == "exchange" else LEAVE_S)
+                if fault.asked:
+                    await self.ask_to_leave(machine)
+                machine.end(power=True)
+            machine.removed = True
+
+    async def exchange(self, fault: Fault) -> None:
+        """Machines go for good; for_s later an empty one starts for each, at an address of its own or the same."""
+        before = self.judge.controllers_at
+        await self.remove(fault)
+        self.judge.controllers_at = max(before, self.scenario.now())
+        await asyncio.sleep(fault.for_s)
+        for name in fault.who:
+            successor = self.scenario.controllers[fault.successor or name]
+            if not successor.up():
+                successor.wipe()
+                await successor.start(first=False)
+            now = self.scenario.now()
+            self.judge.lost_until[name] = now + BOUNDS["catch_up_s"]
+            self.judge.disturb_controller(successor.name, now, now)
+
+    async def come_back(self, fault: Fault) -> None:
+        """Machines that were taken away start again, with the disk of then."""
+        for name in fault.who:
+            if not self.scenario.controllers[name].up():
+                self.disturb((name,), 0.0)
+                await self.scenario.controllers[name].start(first=False)
+
+    async def join(self, fault: Fault) -> None:
+        self.disturb(fault.who, 0.0)
+        for name in fault.who:
+            machine = self.scenario.controllers[name]
+            if not machine.up() and not machine.lives:
+                await machine.start(first=False)
+
+    # ---- links, clocks, disks ----
+
+    async def cut(self, fault: Fault) -> None:
+        """These, together, off from all others: gateways from controllers only."""
+        scenario, who = self.scenario, set(fault.who)
+        gateways = [] if fault.kind == "cut_gateways" else [*scenario.gateways]
+        others = [name for name in (*scenario.controllers, *gateways) if name not in who]
+        pairs = {(one, other) for one in who for other in others}
+        if not fault.one_way:
+            pairs |= {(other, one) for one, other in pairs}
+        self.disturb(fault.who, fault.for_s)
+        self.network.cuts |= pairs
+        known = {} if fault.one_way else self.cut_off(who)
+        scenario.outside.cut_off |= known
+        await asyncio.sleep(fault.for_s)
+        self.network.cuts -= pairs
+        for name in known:
+            scenario.outside.cut_off.pop(name, None)
+
+    def cut_off(self, who: set[str]) -> dict[str, float]:
+        """Those controllers that hear no majority of any voters, with the time."""
+        now, cut = self.scenario.now(), {}
+        for name in who & set(self.scenario.controllers):
+            controller = self.scenario.controllers[name].controller
+            voters = controller.replica.voters().addresses() if controller else ()
+            if controller and len(who.intersection(voters)) < majority(len(voters)):
+                cut[name] = now
+        return cut
+
+    async def hold(self, fault: Fault) -> None:
+        self.disturb(fault.who, fault.for_s)
+        self.network.held |= set(fault.who)
+        await asyncio.sleep(fault.for_s)
+        self.network.held -= set(fault.who)
+
+    async def freeze(self, fault: Fault) -> None:
+        """Processes stand still wherever they are, while time goes on, and go on from there."""
+        loop: SimulatedLoop = simulated_loop()
+        up = [name for name in fault.who if self.machine(name).up() and not self.scenario.frozen(name)]
+        self.disturb(tuple(up), fault.for_s)
+        lives = [self.machine(name).lives for name in up]
+        for name in up:
+            loop.freeze(name)
+        await asyncio.sleep(fault.for_s)
+        for name, life in zip(up, lives, strict=True):
+            if self.machine(name).lives == life:
+                loop.thaw(name)
+
+    async def trouble_disk(self, fault: Fault) -> None:
+        disk = self.scenario.controllers[fault.who[0]].disk
+        self.disturb(fault.who, fault.for_s)
+        disk.trouble(fault.how)
+        await asyncio.sleep(fault.for_s)
+        disk.trouble("")
+
+    async def make_late(self, fault: Fault) -> None:
+        now = self.scenario.now()
+        self.judge.disturb_links(now, now + fault.for_s)
+        for name in self.scenario.gateways:
+            self.judge.disturb_gateway(name, now + fault.for_s)
+        self.network.late, self.network.doubled = fault.share, fault.doubled
+        await asyncio.sleep(fault.for_s)
+        self.network.late = self.network.doubled = 0.0
+
+    async def lose_answers(self, fault: Fault) -> None:
+        """Orders are carried out, and their answers never come."""
+        now = self.scenario.now()
+        self.judge.disturb_links(now, now + fault.for_s)
+        self.network.answers_lost = fault.share
+        await asyncio.sleep(fault.for_s)
+        self.network.answers_lost = 0.0
+
+    # ---- at hard moments ----
+
+    async def strike_at_message(self, fault: Fault) -> None:
+        """The next message of a kind sets off a fault of its sender or its receiver; for_s is how long that takes."""
+
+        def strike(name: str) -> None:
+            if name in self.scenario.controllers:
+                struck = replace(fault, kind=fault.how, how="", who=(name,))
+                self.network.run_on("", self.strike(struck))
+
+        for machine in fault.who or ("",):
+            self.network.traps.append(Trap(machine, fault.message, fault.sent, fault.count, strike))
+
+    async def arm(self, fault: Fault) -> None:
+        self.armed[fault.kind] = fault
+
+    async def shift(self, fault: Fault) -> None:
+        self.scenario.tenants.shift(fault.weights)
--- /dev/null
+++ b/stoneyoke/lab/simulation/invariants.py
@@ -0,0 +1,116 @@
+"""What has to hold at each moment of a scenario, and at its end."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from stoneyoke.api.configuration import Version
+from stoneyoke.controlplane.consensus import FIRST_DISK, Accepted
+from stoneyoke.controlplane.controller import Controller
+from stoneyoke.controlplane.instance_registry import Phase
+from stoneyoke.lab.simulation.bounds import BOUNDS, CONVERGE_S, TICK_S
+
+if TYPE_CHECKING:
+    from stoneyoke.lab.simulation.machines import ControllerMachine, GatewayMachine
+    from stoneyoke.lab.simulation.scenario import Scenario
+
+READY_S = 2.5  # more than contact_s, that a gateway may take to be ready
+NEVER = float("inf")
+
+
+class Invariants:
+    """learnt: what each controller last took for chosen. behind_since: since when it lacks what was acknowledged."""
+
+    def __init__(self, scenario: "Scenario") -> None:
+        self.scenario, self.judge = scenario, scenario.judge
+        self.learnt: dict[str, Accepted | None] = {}
+
+    async def watch(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.scenario.now()
+            self.judge.check_orders(now)
+            self.check_lease(now)
+            for machine in self.scenario.controllers.values():
+                if machine.controller:
+                    self.check_controller(machine, machine.controller, now)
+            for gateway in self.scenario.gateways.values():
+                if gateway.client and self.judge.in_touch(gateway.name, now):
+                    self.check_gateway(gateway, now)
+
+    def check_lease(self, now: float) -> None:
+        machines = self.scenario.controllers.items()
+        holders = [name for name, one in machines if one.controller and one.controller.lease.holds()]
+        self.judge.must(len(holders) <= 1, now, f"LEASE: two hold it: {holders}")
+
+    def check_controller(self, machine: "ControllerMachine", controller: Controller, now: float) -> None:
+        name, chosen = machine.name, controller.replica.chosen
+        if chosen is not None and chosen is not self.learnt.get(name):
+            self.learnt[name] = chosen
+            self.judge.register.learn(now, name, chosen)
+        if machine.wiped and controller.replica.votes():
+            machine.wiped = False
+            self.scenario.met["wiped, votes again"] += 1
+            new = controller.replica.identity.disk != FIRST_DISK
+            self.judge.must(new, now, f"{name} votes by the name of the disk that it lost")
+        catch_up_s = BOUNDS["catch_up_s"]
+        calm = now > max(self.judge.controllers_at, self.judge.links_until, machine.started_at) + catch_up_s
+        if calm and not self.scenario.busy(name):
+            held, needed = controller.replica.version(), self.judge.register.newest_acknowledged(now - catch_up_s)
+            caught_up = held.number >= needed.number
+            self.judge.must(caught_up, now, f"BEHIND: {name} holds {held} and not {needed} after {catch_up_s} s")
+
+    def check_gateway(self, gateway: "GatewayMachine", now: float) -> None:
+        judge, name, client = self.judge, gateway.name, gateway.client
+        assert client
+        needed = judge.register.newest_acknowledged(now - BOUNDS["apply_s"])
+        held = gateway.version()
+        judge.must(held.number >= needed.number, now, f"CONFIG: {name} has {held} only, {needed} was acknowledged")
+        # No rule, a duty: controllers that start at once need three seconds, and a gateway hears of it then.
+        expected = judge.register.newest_acknowledged(now - 4).number and judge.in_touch(name, now - READY_S)
+        judge.must(client.lookout.ready or not expected, now, f"{name} is not ready")
+        for drained in judge.drained:
+            known = client.roster.known.get(drained.instance)
+            gone = known is None or known.row.phase == Phase.DRAINING or now - drained.at < BOUNDS["drain_s"]
+            judge.must(gone, now, f"DRAIN: {name} takes {drained.instance} for ready")
+
+    # ---- at the end ----
+
+    async def check_converged(self) -> None:
+        """Well after the last fault all tell the same."""
+        scenario, judge, now = self.scenario, self.judge, self.scenario.now()
+        up = {name: one.controller for name, one in scenario.controllers.items() if one.controller}
+        newest = judge.register.newest_acknowledged(now)
+        for name, controller in up.items():
+            held = controller.replica.version()
+            judge.must(held.number >= newest.number, now, f"{name} holds {held}, {newest} is the newest")
+        versions = {controller.replica.version() for controller in up.values()}
+        versions |= {one.version() for one in scenario.gateways.values() if one.table}
+        judge.must(len(versions) <= 1, now, f"versions differ at the end: {sorted(map(str, versions))}")
+        voters = {controller.replica.voters() for controller in up.values()}
+        judge.must(len(voters) == 1, now, f"voters differ at the end: {voters}")
+        judge.must(sum(one.lease.holds() for one in up.values()) == 1, now, "LEASE: nobody holds it at the end")
+        for name, gateway in scenario.gateways.items():
+            ready = gateway.client is not None and gateway.client.lookout.ready
+            judge.must(ready, now, f"{name} is not ready at the end")
+        for name in up:
+            told = any([await scenario.operators.read_back(name) or await scenario.operators.read_back(name)])
+            judge.must(told or not newest.number, now, f"LOST: {name} can't read back {newest}")
+        self.check_removed(up, now)
+        judge.register.audit(scenario.now())
+        tenants = scenario.tenants
+        judge.note(now, f"end {sorted(map(str, versions))} {tenants.sent} {tenants.refused} {len(judge.broken)}")
+
+    def check_removed(self, up: dict[str, Controller], now: float) -> None:
+        """Who was taken away for good votes no more, if anybody could take the place."""
+        gone = [name for name, one in self.scenario.controllers.items() if one.removed]
+        since = min((controller.clock() - controller.born for controller in up.values()), default=0.0)
+        if not gone or since < CONVERGE_S:
+            return
+        for controller in up.values():
+            voters = controller.replica.voters().addresses()
+            if len(up) >= len(voters):
+                self.judge.must(not set(gone) & set(voters), now, f"{gone} still votes")
+                self.scenario.met["voter replaced"] += 1
+
+    def newest(self) -> Version:
+        return self.judge.register.newest_acknowledged(self.scenario.now())
--- a/stoneyoke/lab/simulation/network.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -1,89 +1,127 @@
-"""What lies between the machines of a voyage: a network that delays, loses, doubles and cuts, and disks that forget.
+"""The network between the machines of a scenario: it delays, loses, doubles and cuts.
 
 Messages go through the real packing. A call may be delivered though its caller has given up, late, or twice: that is
-more than TCP allows, so what holds here holds there. Disks keep the real format; a loss of power keeps what was
-synced, and each later write whole, torn or not at all, by lot (DEPLOY, Disk)."""
+more than TCP allows, so what holds here holds there."""
 
 import asyncio
-import os
+import contextvars
 import random
-import shutil
-from collections.abc import Awaitable, Callable, Iterable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from dataclasses import dataclass
 from typing import Any
 
-from stoneyoke.storage.record_store import RecordStore, StorageError
+from stoneyoke.lab.simulation.clock import MACHINE
 from stoneyoke.transport.messages import Message, pack, unpack
 from stoneyoke.transport.peers import PeerUnreachable
 
-Meet = Callable[[Message], Awaitable[Message | None]]
+Serve = Callable[[Message], Awaitable[Message | None]]
+DELAY_S = 0.0015
+LATE_S = (0.02, 0.2, 0.8, 2.0)  # how late a late message is
+BLOCKED_STEP_S = 0.05
+NO_POWER_STEP_S = 0.5
+
+
+@dataclass(slots=True)
+class Trap:
+    """Strikes where a message passes. machine: that sends or gets it, any if empty; kind: of the message; sent:
+    whether it strikes its sender (before it leaves) or its receiver (before it is taken); count: of such messages."""
+
+    machine: str
+    kind: str
+    sent: bool
+    count: int
+    strike: Callable[[str], None]
 
 
 class SimulatedNetwork:
     """ports: who answers at an address, None where the machine is up and nothing listens; absent: no power.
-    cuts: pairs (from, to) that carry nothing. held: machines whose links stand still."""
+    cuts: pairs (from, to) that carry nothing. held: machines whose links stand still. late, doubled: shares of
+    messages. answers_lost: share of the answers to operators and backends that never come."""
 
     def __init__(self, chance: random.Random) -> None:
         self.chance = chance
-        self.ports: dict[str, Meet | None] = {}
-        self.crews: dict[str, set[asyncio.Task[Any]]] = {}  # what runs on a machine; ended with it
+        self.ports: dict[str, Serve | None] = {}
+        self.tasks: dict[str, set[asyncio.Task[Any]]] = {}  # what runs on a machine; ended with it
         self.cuts: set[tuple[str, str]] = set()
         self.held: set[str] = set()
-        self.delay_s, self.late, self.doubled = 0.0015, 0.0, 0.0
-        self.carried: dict[str, int] = {}  # messages, by kind
+        self.late, self.doubled, self.answers_lost = 0.0, 0.0, 0.0
+        self.carried: Counter[str] = Counter()  # messages, by kind
+        self.traps: list[Trap] = []
 
-    def aboard(self, name: str, work: Any) -> asyncio.Task[Any]:
+    def context(self, machine: str) -> contextvars.Context:
+        """Whatever is begun in it belongs to this machine; to the network or the outside if empty."""
+        context = contextvars.copy_context()
+        context.run(MACHINE.set, machine)
+        return context
+
+    def run_on(self, machine: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """A task of this machine."""
-        task = asyncio.get_running_loop().create_task(work)
-        tasks = self.crews.setdefault(name, set())
+        task = asyncio.get_running_loop().create_task(work, context=self.context(machine))
+        tasks = self.tasks.setdefault(machine, set())
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         return task
 
-    def sink(self, name: str, power: bool) -> None:
+    def end_machine(self, machine: str, power: bool) -> None:
         """All that runs there ends; without power nothing says so."""
         if power:
-            self.ports.pop(name, None)
+            self.ports.pop(machine, None)
         else:
-            self.ports[name] = None
-        for task in in_order(self.crews.get(name, ())):
+            self.ports[machine] = None
+        for task in in_order(self.tasks.get(machine, ())):
             task.cancel()
 
+    def blocked(self, own: str, other: str) -> bool:
+        return (own, other) in self.cuts or own in self.held or other in self.held
+
     async def cross(self, own: str, other: str) -> None:
         """One message's way. One that can't come through waits for as long as its caller does."""
-        wait = self.delay_s * (0.7 + 0.6 * self.chance.random())
+        wait = DELAY_S * (0.7 + 0.6 * self.chance.random())
         if self.late and self.chance.random() < self.late:
-            wait += self.chance.choice((0.02, 0.2, 0.8, 2.0))
+            wait += self.chance.choice(LATE_S)
         await asyncio.sleep(wait)
-        while (own, other) in self.cuts or own in self.held or other in self.held:
-            await asyncio.sleep(0.05)
+        while self.blocked(own, other):
+            await asyncio.sleep(BLOCKED_STEP_S)
 
-    def wires(self, own: str) -> Callable[[tuple[str, int]], Any]:
+    def dialler(self, own: str) -> Callable[[tuple[str, int]], Any]:
         return lambda address: SimulatedPeerClient(self, own, address[0])
 
-    async def deliver(self, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
+    def passes(self, machine: str, kind: str, sent: bool) -> None:
+        for trap in list(self.traps):
+            if trap.kind == kind and trap.sent == sent and trap.machine in ("", machine):
+                trap.count -= 1
+                if trap.count <= 0:
+                    self.traps.remove(trap)
+                    trap.strike(machine)
+
+    async def deliver(self, own: str, other: str, kind: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
         """Carried whether or not the caller still waits."""
         await self.cross(own, other)
         while other not in self.ports:
-            await asyncio.sleep(0.5)  # without power nothing answers, and who comes back knows no old connection
+            await asyncio.sleep(NO_POWER_STEP_S)  # nothing answers, and who comes back knows no old connection
             if other in self.ports:
                 return
-        meet = self.ports[other]
-        if meet is None:
+        self.passes(other, kind, sent=False)
+        serve = self.ports.get(other)
+        if serve is None:
             if not answer.done():
                 answer.set_exception(PeerUnreachable("nothing listens"))
             return
         times = 2 if self.doubled and self.chance.random() < self.doubled else 1
         for _ in range(times):
-            self.aboard(other, self.met(meet, own, other, data, answer))
+            self.run_on(other, self.serve(serve, own, other, data, answer))
 
-    async def met(self, meet: Meet, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
-        said = await meet(unpack(data[4:])[1])
-        if said is None:
-            return
-        back = pack(1, said)
+    async def serve(self, serve: Serve, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
+        said = await serve(unpack(data[4:])[1])
+        if said is not None:
+            # On its way back it belongs to the network: its sender's end or freeze does not hold it up.
+            self.run_on("", self.bring_back(own, other, pack(1, said), answer))
+
+    async def bring_back(self, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
         await self.cross(other, own)
         if not answer.done():
-            answer.set_result(back)
+            answer.set_result(data)
 
 
 def in_order(tasks: Iterable[asyncio.Future[Any]]) -> list[asyncio.Task[Any]]:
@@ -92,17 +130,18 @@
 
 
 class SimulatedPeerClient:
-    """In place of signals.wires.PeerClient."""
+    """In place of transport.peers.PeerClient."""
 
-    def __init__(self, sea: SimulatedNetwork, own: str, other: str) -> None:
-        self.sea, self.own, self.other, self.address = sea, own, other, (other, 1)
+    def __init__(self, network: SimulatedNetwork, own: str, other: str) -> None:
+        self.network, self.own, self.other, self.address = network, own, other, (other, 1)
 
     async def call(self, message: Message, within_s: float) -> Message:
         kind = type(message).__name__
-        self.sea.carried[kind] = self.sea.carried.get(kind, 0) + 1
+        self.network.carried[kind] += 1
+        self.network.passes(self.own, kind, sent=True)
         answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         # On its way it belongs to the network: its sender's end does not take it back.
-        self.sea.aboard("", self.sea.deliver(self.own, self.other, pack(1, message), answer))
+        self.network.run_on("", self.network.deliver(self.own, self.other, kind, pack(1, message), answer))
         try:
             async with asyncio.timeout(within_s):
                 data = await answer
@@ -112,106 +151,3 @@
             if answer.done() and not answer.cancelled():
                 answer.exception()
         return unpack(data[4:])[1]
-
-
-class PowerLost(BaseException):
-    """In the middle of a write."""
-
-
-class SimulatedRecordStore(RecordStore):
-    """The real records in a real folder, whose syncs are noted: `durable` is what a loss of power leaves for sure."""
-
-    def __init__(self, folder: str) -> None:
-        self.durable: dict[str, bytes] = {}
-        self.refuses = False
-        self.syncs_left = -1  # then the process ends; -1: it does not
-        super().__init__(folder)
-
-    def sync(self, path: str) -> None:
-        if self.refuses:
-            raise OSError("refused")
-        if self.syncs_left == 0:
-            raise PowerLost
-        self.syncs_left -= self.syncs_left > 0
-        if path == self.folder:
-            self.durable = {
-                name: data for name, data in self.durable.items() if os.path.exists(os.path.join(self.folder, name))
-            }
-        else:
-            with open(path, "rb") as file:
-                self.durable[os.path.basename(path)] = file.read()
-
-    def lose_power(self, chance: random.Random) -> None:
-        """What was not synced is there, missing or torn; names removed since the last sync may be back."""
-        all_gone = chance.random() < 0.25
-        now = {}
-        for name in sorted(os.listdir(self.folder)):
-            with open(os.path.join(self.folder, name), "rb") as file:
-                now[name] = file.read()
-        after: dict[str, bytes] = {}
-        for name in sorted({*now, *self.durable}):
-            new, old = now.get(name), self.durable.get(name)
-            if new == old or all_gone or chance.random() < 0.4:
-                kept = old
-            elif new is not None and chance.random() < 0.5:
-                cut = chance.randrange(len(new) + 1)
-                kept = new[:cut] + (b"\0" * (len(new) - cut) if chance.random() < 0.5 else b"")
-            else:
-                kept = new
-            if kept is not None:
-                after[name] = kept
-        shutil.rmtree(self.folder)
-        os.makedirs(self.folder)
-        for name, data in after.items():
-            with open(os.path.join(self.folder, name), "wb") as file:
-                file.write(data)
-        self.durable = after
-
-
-class Disk:
-    """A machine's disk, whatever runs on it. slow_s: of each write; hangs: until it doesn't."""
-
-    def __init__(self, folder: str, chance: random.Random) -> None:
-        self.folder, self.chance = folder, chance
-        self.slow_s, self.hangs, self.refuses = 0.004, False, False
-        self.hold = SimulatedRecordStore(folder)
-        self.writing: Callable[[], Any] | None = None
-
-    def mount(self) -> SimulatedRecordStore:
-        """For a new process."""
-        durable = self.hold.durable
-        self.hold = SimulatedRecordStore(self.folder)
-        self.hold.durable, self.hold.refuses = durable, self.refuses
-        return self.hold
-
-    async def blocking(self, work: Callable[..., Any], *args: Any) -> Any:
-        """In place of a thread that the disk makes wait."""
-        self.writing = lambda: work(*args)
-        try:
-            await asyncio.sleep(self.slow_s * (0.5 + self.chance.random()))
-            while self.hangs:
-                await asyncio.sleep(0.05)
-            self.writing = None
-            done = work(*args)
-            await asyncio.sleep(self.slow_s * self.chance.random())
-            return done
-        finally:
-            self.writing = None
-
-    def end(self, power: bool) -> None:
-        """The process there ends, maybe within a write."""
-        if self.writing and self.chance.random() < 0.6:
-            self.hold.syncs_left = self.chance.randrange(3)
-            try:
-                self.writing()
-            except (PowerLost, StorageError):
-                pass
-        self.writing = None
-        self.hold.syncs_left = -1
-        if power:
-            self.hold.lose_power(self.chance)
-
-    def wipe(self) -> None:
-        shutil.rmtree(self.folder)
-        os.makedirs(self.folder)
-        self.hold.durable = {}
--- /dev/null
+++ b/stoneyoke/lab/simulation/outside.py
@@ -0,0 +1,75 @@
+"""Calls from outside, as operators and backends make them over HTTP: an answer, or none that is clear."""
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from stoneyoke.api.calls import Answer, Asked, Document, Rejected
+from stoneyoke.lab.simulation.bounds import CALL_S, CUT_KNOWN_S, REFUSED_S
+from stoneyoke.lab.simulation.machines import ControllerMachine
+from stoneyoke.lab.simulation.network import LATE_S
+
+if TYPE_CHECKING:
+    from stoneyoke.lab.simulation.scenario import Scenario
+
+WAY_S = 0.002
+
+
+class Outside:
+    """Whoever calls from outside. cut_off: controllers that hear no majority, since when."""
+
+    def __init__(self, scenario: "Scenario") -> None:
+        self.scenario = scenario
+        self.cut_off: dict[str, float] = {}
+
+    def choices(self) -> list[str]:
+        """Controllers that callers know of, in an order by chance: one after the other is asked."""
+        names = [name for name, machine in self.scenario.controllers.items() if machine.listed()]
+        self.scenario.chance.shuffle(names)
+        return names
+
+    async def call(self, name: str, asked: Asked | Rejected, within_s: float = CALL_S) -> Answer | None:
+        """A call to one controller; None: no clear answer."""
+        if isinstance(asked, Rejected):
+            return asked
+        scenario, machine = self.scenario, self.scenario.controllers[name]
+        controller, asked_at = machine.controller, scenario.now()
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        scenario.network.run_on("", self.carry(machine, asked, answer))
+        try:
+            async with asyncio.timeout(within_s):
+                said = await answer
+        except TimeoutError:
+            said = None
+        if machine.controller is not controller:
+            said = None
+        self.check_refused(machine, asked_at, said)
+        return said
+
+    async def carry(self, machine: ControllerMachine, asked: Asked, answer: "asyncio.Future[Answer]") -> None:
+        """It is carried out whether or not its caller waits, maybe late or twice, for as long as the process lives."""
+        network, chance = self.scenario.network, self.scenario.chance
+        await asyncio.sleep(WAY_S)
+        if network.late and chance.random() < network.late:
+            await asyncio.sleep(chance.choice(LATE_S))
+        for _ in range(2 if network.doubled and chance.random() < network.doubled else 1):
+            controller = machine.controller
+            if controller is None or machine.name in network.held:
+                return
+            said = await asyncio.shield(network.run_on(machine.name, controller.call(asked)))
+        await asyncio.sleep(WAY_S)
+        lost = network.answers_lost and chance.random() < network.answers_lost
+        if not answer.done() and not lost and machine.name not in network.held:
+            answer.set_result(said)
+
+    def check_refused(self, machine: ControllerMachine, asked_at: float, said: Answer | None) -> None:
+        """One that is cut off refuses, at once, and not as its caller's fault."""
+        scenario, since = self.scenario, self.cut_off.get(machine.name, 1e18)
+        known_at = max(since, machine.started_at) + CUT_KNOWN_S
+        if machine.controller is None or asked_at < known_at or scenario.busy(machine.name):
+            return
+        now, judge = scenario.now(), scenario.judge
+        quick = said is not None and now - asked_at <= REFUSED_S
+        judge.must(quick, now, f"CUT: {machine.name} is cut off and takes {now - asked_at:.2f} s to say so")
+        served = isinstance(said, Document | Rejected)
+        judge.must(not served, now, f"CUT: {machine.name} is cut off and says {type(said).__name__}")
+        scenario.met["refused, cut off"] += 1
--- a/stoneyoke/lab/simulation/runs.py
+++ b/stoneyoke/lab/simulation/runs.py
@@ -1,22 +1,24 @@
-"""Many voyages at once, on several processors, and what came of them."""
+"""Many scenarios at once, on several processors, and what came of them."""
 
 import time
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
 from stoneyoke.lab.simulation import seeded_defects
-from stoneyoke.lab.simulation.plans import Plan, make_plan
-from stoneyoke.lab.simulation.scenario import Outcome, Scenario
+from stoneyoke.lab.simulation.judge import Outcome
+from stoneyoke.lab.simulation.plans import Plan
+from stoneyoke.lab.simulation.random_plans import make_plan
+from stoneyoke.lab.simulation.scenario import Scenario
 
 
 @dataclass
 class Tally:
-    """Of many voyages. trace: a digest of all of theirs, in the order of their seeds."""
+    """Of many scenarios. trace: a digest of all of theirs, in the order of their seeds."""
 
-    voyages: int = 0
+    scenarios: int = 0
     broken: list[Outcome] = field(default_factory=list)
     met: Counter[str] = field(default_factory=Counter)
     sent: int = 0
@@ -28,37 +30,37 @@
     def text(self) -> str:
         met = ", ".join(f"{kind} {count}" for kind, count in sorted(self.met.items()))
         return (
-            f"{self.voyages} voyages in {self.seconds:.0f} s, {len(self.broken)} broken, trace {self.trace}\n"
+            f"{self.scenarios} scenarios in {self.seconds:.0f} s, {len(self.broken)} broken, trace {self.trace}\n"
             f"met: {met}\n{self.sent} requests passed; of tenants at half their quota {self.refused_inside} of "
             f"{self.asked_inside} were refused"
         )
 
 
-def sail(plan: Plan, mutant: str = "") -> Outcome:
-    """A voyage that ends with a fault of its own is broken too."""
-    with seeded_defects.seeded(mutant):
+def play(plan: Plan, defect: str = "", at_end: Callable[[Scenario], None] | None = None) -> Outcome:
+    """A scenario that ends with an exception of its own is broken too."""
+    with seeded_defects.seeded(defect):
         try:
-            return Scenario(plan).play()
+            return Scenario(plan, at_end).play()
         except Exception as bad:
-            return Outcome(plan.seed, [f"a fault: {type(bad).__name__}: {bad}"], "", Counter())
+            return Outcome(plan.seed, [f"an exception: {type(bad).__name__}: {bad}"], "", Counter())
 
 
-def sail_seed(seed: int, mutant: str = "") -> Outcome:
-    return sail(make_plan(seed), mutant)
+def play_seed(seed: int, defect: str = "") -> Outcome:
+    return play(make_plan(seed), defect)
 
 
-def sail_many(seeds: Iterable[int], jobs: int) -> Iterator[Outcome]:
+def play_many(seeds: Iterable[int], jobs: int) -> Iterator[Outcome]:
     if jobs <= 1:
-        yield from map(sail_seed, seeds)
+        yield from map(play_seed, seeds)
         return
     with ProcessPoolExecutor(jobs) as pool:
-        yield from pool.map(sail_seed, seeds, chunksize=4)
+        yield from pool.map(play_seed, seeds, chunksize=4)
 
 
 def count(outcomes: Iterable[Outcome]) -> Tally:
     tally, sums, begun = Tally(), blake2b(digest_size=12), time.monotonic()
     for outcome in outcomes:
-        tally.voyages += 1
+        tally.scenarios += 1
         tally.met += outcome.met
         tally.sent += outcome.sent
         tally.refused_inside += outcome.refused_inside
--- a/stoneyoke/lab/simulation/seeded_defects.py
+++ b/stoneyoke/lab/simulation/seeded_defects.py
@@ -58,7 +58,7 @@
 
 def promises_in_memory() -> list[Patch]:
     """Promises are not written."""
-    from stoneyoke.lab.simulation.network import SimulatedRecordStore
+    from stoneyoke.lab.simulation.disks import SimulatedRecordStore
 
     real = SimulatedRecordStore.keep
 
@@ -126,7 +126,7 @@
 
 def ack_before_sync() -> list[Patch]:
     """A record counts before it is synced."""
-    from stoneyoke.lab.simulation.network import SimulatedRecordStore
+    from stoneyoke.lab.simulation.disks import SimulatedRecordStore
 
     return [(SimulatedRecordStore, "sync", lambda self, path: None)]
 
@@ -151,9 +151,14 @@
     real = leases.LeaseHolder.answer
 
     def answer(
-        self: leases.LeaseHolder, voter: str, ok: bool, names: tuple[str, ...], began: float, now: float
+        self: leases.LeaseHolder,
+        voter: consensus.ReplicaId,
+        ok: bool,
+        voters: tuple[consensus.ReplicaId, ...],
+        began: float,
+        now: float,
     ) -> None:
-        real(self, voter, ok, names, began, now)
+        real(self, voter, ok, voters, began, now)
         if self.until > now:
             self.until = now + leases.TTL_S
 
