--- a/stoneyoke/controlplane/configuration_service.py
+++ b/stoneyoke/controlplane/configuration_service.py
@@ -98,6 +98,8 @@
 
     async def read(self) -> Answer:
         """The newest configuration, no older than any that was acknowledged or read before."""
+        if not self.in_touch():
+            return Unavailable("cut off from most controllers: ask another one")
         chosen = await self.replication.read(ANSWER_S)
         if chosen is None:
             return Unavailable("too few controllers answer: ask another one")
