--- a/tests/system/test_record_store.py
+++ b/tests/system/test_record_store.py
@@ -8,7 +8,7 @@
 
 from ward import fixture, raises, test
 
-from stoneyoke.lab.simulation.network import PowerLost, SimulatedRecordStore
+from stoneyoke.lab.simulation.disks import PowerLost, SimulatedRecordStore
 from stoneyoke.storage import record_store
 from stoneyoke.storage.record_store import RecordStore, StorageError
 
