--- a/stoneyoke/net/http.py
+++ b/stoneyoke/net/http.py
@@ -233,15 +233,15 @@
 
     A transport offers the first send to the kernel at once and keeps what that does not take in its own buffer. So no
     byte has left where the connection was closing before, where that first send was refused, or where the transport is
-    still open and its buffer holds as much as was handed to it. A transport that has closed meanwhile keeps no buffer
-    and tells nothing: some bytes may have left.
+    still open and its buffer holds as much as was handed to it. A transport that has closed meanwhile holds nothing any
+    more, and that tells nothing: some bytes may have left.
 
     "None has left" stays true only if what the buffer holds never leaves: whoever relies on it aborts the connection
     before the event loop turns again. A request of which a part has left counts as one that may run. It is not whole
     at the backend, but that a backend runs nothing before the last byte is the backend's matter, not known here."""
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
-        self.writer, self.size = writer, 0
+        self.writer, self.size = writer, 0  # its bytes; 0 until the first send has been offered
 
     def start(self, head: list[bytes], body: bytes) -> None:
         """Raises ConnectionResetError where the connection is closed or refuses the first send: no byte has left."""
@@ -260,9 +260,7 @@
             raise ConnectionResetError("closed while the request was written")
 
     def may_have_left(self) -> bool:
-        if not self.size:
-            return False
-        return self.writer.is_closing() or self.writer.transport.get_write_buffer_size() < self.size
+        return self.writer.transport.get_write_buffer_size() < self.size
 
 
 def write_message(writer: asyncio.StreamWriter, head: list[bytes], body: bytes) -> None:
--- a/tests/system/test_peers.py
+++ b/tests/system/test_peers.py
@@ -10,6 +10,7 @@
     FetchResponse,
     InstanceRefresh,
     InstanceUpdateResponse,
+    MalformedMessage,
     QuotaRequest,
     QuotaResponse,
     pack,
@@ -159,7 +160,11 @@
         old = peer.client.connection
         peer.writers[0].write(pack(1, ANSWER))
         old.end("in doubt")
-        assert await fails(call)
+        try:
+            old.take(1, ANSWER)  # had been read in the turn of the loop in which it ended
+            raise AssertionError("an ended connection takes answers")
+        except MalformedMessage:
+            assert await fails(call)
         renewed = peer.call()
         await until(lambda: len(peer.got) == 2)
         assert not old.calls and not renewed.done() and peer.client.connection is not old
