Laboratory: the fleet's key is written once, before any gateway starts

Cause: each gateway's configuration wrote the file with the shared key anew. A gateway that started at that moment read it empty and ended with 'one or two keys of 32 to 128 hex digits are needed': on a machine at load 40, two of nine gateways of one run, and the run's test failed for want of a result.

Change: the run writes the key once, before it starts anything. The test that met it now shows what the run said where there is no result.

--- a/stoneyoke/lab/run.py
+++ b/stoneyoke/lab/run.py
@@ -115,6 +115,7 @@
         self.speeds = speeds_of(scenario)
         self.base_ms = int(time.time() * 1000)
         self.began = 0.0
+        self.keys = out.resolve() / "configs" / "keys"
 
     # ---- before ----
 
@@ -238,13 +239,16 @@
         it."""
         places, few = self.places, min(self.scenario.fleet.seeds, self.scenario.gateways.count)
         seeds = ", ".join(f'"{text(places.to_peer(seed))}"' for seed in range(few))
-        keys = self.out.resolve() / "configs" / "keys"
-        keys.write_text(f"{self.seed:032x}\n")
         return (
             f'[fleet]\nlisten = "{text(places.peer(g))}"\nadvertise = "{text(places.to_peer(g))}"\n'
-            f'seeds = [{seeds}]\nkeys = "{keys}"\n'
+            f'seeds = [{seeds}]\nkeys = "{self.keys}"\n'
         )
 
+    def write_keys(self) -> None:
+        """The key that all gateways share, written once, before any starts: one that starts reads it meanwhile."""
+        if self.scenario.fleet.on:
+            self.keys.write_text(f"{self.seed:032x}\n")
+
     # ---- processes ----
 
     async def child(self, name: str, kind: str, given: dict[str, Any]) -> None:
@@ -309,6 +313,7 @@
     async def start(self) -> None:
         for folder in ("ledger", "logs", "configs"):
             (self.out / folder).mkdir(parents=True, exist_ok=True)
+        self.write_keys()
         (self.out / "scenario.json").write_bytes(msgspec.json.encode(self.scenario))
         (self.out / "plan.json").write_bytes(msgspec.json.encode(self.drawn))
         scenario, places, drawn = self.scenario, self.places, self.drawn
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -29,6 +29,7 @@
         text=True,
         timeout=150,
     )
+    assert (out / "result.json").exists(), ran.stdout + ran.stderr
     result = msgspec.json.decode((out / "result.json").read_bytes())
     assert result["verdict"] in ("passed", "void"), ran.stdout + ran.stderr
     assert result["crashes"] == [] and result["figures"]["peer messages s"] > 1
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -105,6 +105,17 @@
     assert not children_of(tmp_path / "run")
 
 
+def test_the_gateways_key_is_whole_while_the_next_one_is_configured(tmp_path):
+    run = Run(read(SHIPPED / "fleet.toml"), 7, tmp_path, 22070)
+    (tmp_path / "configs").mkdir()
+    run.write_keys()
+    written = run.keys.stat()
+    run.configure(0)
+    run.configure(1)
+    assert run.keys.stat().st_mtime_ns == written.st_mtime_ns and run.keys.stat().st_ino == written.st_ino
+    assert str(run.keys) in (tmp_path / "configs" / "g001.toml").read_text()
+
+
 def test_a_busy_port_is_told_before_anything_starts(tmp_path):
     with socket.create_server(("127.10.0.3", 19570)):
         ran = lab("run", short(tmp_path), "--out", tmp_path / "busy", "--port", 19570)
