Tests of the laboratory and of the fleet take free ports

Cause: fixed ports: two test runs on one machine met on them, and the three tests of the fleet's datagrams could not run beside each other.

Change: free_port() asks the system; those three tests need no group of their own any more. Nothing else of them changes.

--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -3,12 +3,13 @@
 import json
 import os
 import re
+import socket
 import subprocess
 import sys
 
 import msgspec
 import pytest
-from helpers import SETTINGS, Town, on_loop, until
+from helpers import SETTINGS, Town, free_port, on_loop, until
 from stoneyoke.__main__ import Charter, Program
 from stoneyoke.interface import Hearsay
 from stoneyoke.options import Fleet, FleetTerms, fleet_terms
@@ -16,14 +17,11 @@
 
 ENV = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
 
-# They listen on the same two ports: one after another, in one worker of a parallel run.
-on_two_ports = pytest.mark.xdist_group("fleet ports")
-
 
 def test_gateways_share_what_they_learn_of_a_silent_backend_over_faults_of_all_kinds(tmp_path):
     out = tmp_path / "run"
     ran = subprocess.run(
-        [sys.executable, "-m", "stoneyoke.cli", "lab", "run", "fleet", "--out", str(out), "--port", "22070"],
+        [sys.executable, "-m", "stoneyoke.cli", "lab", "run", "fleet", "--out", str(out), "--port", str(free_port())],
         env=ENV,
         capture_output=True,
         text=True,
@@ -65,7 +63,7 @@
         await self.town.__aenter__()
         given = json.loads(json.dumps(self.town.given)) | {"listen": "127.0.0.1:0"}
         given["settings"] = SETTINGS | {"self-index": 2}
-        one, two = ("127.0.0.1", 23071), ("127.0.0.1", 23072)
+        one, two = (("127.0.0.1", free_port("127.0.0.1", socket.SOCK_DGRAM)) for _ in range(2))
         self.programs = [
             Program(Charter(given), terms(self.town, "g1", one, [two])),
             Program(Charter(given), terms(self.town, "g2", two, [one])),
@@ -85,7 +83,6 @@
         await self.town.__aexit__()
 
 
-@on_two_ports
 @on_loop
 async def test_two_programs_find_each_other_and_one_says_farewell():
     async with Two() as two:
@@ -96,7 +93,6 @@
         assert second.peers["g1"].record.state == 3
 
 
-@on_two_ports
 @on_loop
 async def test_junk_and_a_flood_of_it_cost_counts_and_the_rest_goes_on():
     async with Two() as two:
@@ -112,7 +108,6 @@
         assert not two.programs[0].tally.broken
 
 
-@on_two_ports
 @on_loop
 async def test_what_the_others_make_of_a_backend_reaches_the_decisions():
     async with Two() as two:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -166,6 +166,19 @@
         await asyncio.sleep(0.002)
 
 
+LAB_PORT_MAX = 60_000  # the largest that `stoneyoke lab` takes
+
+
+def free_port(host="127.10.0.1", kind=socket.SOCK_STREAM):
+    """A port that nobody listens on now: so that runs beside each other don't meet on a fixed one."""
+    while True:
+        with socket.socket(type=kind) as probe:
+            probe.bind((host, 0))
+            port = probe.getsockname()[1]
+        if port <= LAB_PORT_MAX:
+            return port
+
+
 async def read_message(reader):
     """A message as it stands on the wire: its head's lines and its body. None where the stream ends."""
     try:
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -11,6 +11,7 @@
 import msgspec
 import psutil
 import pytest
+from helpers import free_port
 
 from stoneyoke.lab.cli import SHIPPED
 from stoneyoke.lab.run import CantRun, Run
@@ -50,7 +51,7 @@
 
 def test_a_run_with_faults_keeps_the_rules_and_leaves_nothing_behind(tmp_path):
     out = tmp_path / "run"
-    ran = lab("run", "small", "--out", out, "--json", tmp_path / "r.json", "--port", 17070)
+    ran = lab("run", "small", "--out", out, "--json", tmp_path / "r.json", "--port", free_port())
     result = msgspec.json.decode((tmp_path / "r.json").read_bytes())
     assert result["verdict"] in ("passed", "void"), ran.stdout + ran.stderr
     assert not [v for v in result["violations"] if result["verdict"] == "passed"]
@@ -68,7 +69,7 @@
 
 
 def test_quotas_and_ceilings_hold_over_an_empty_counter_late_answers_and_killed_gateways(tmp_path):
-    ran = lab("run", "limits", "--out", tmp_path / "run", "--port", 16070)
+    ran = lab("run", "limits", "--out", tmp_path / "run", "--port", free_port())
     result = msgspec.json.decode((tmp_path / "run" / "result.json").read_bytes())
     assert result["verdict"] in ("passed", "void"), ran.stdout + ran.stderr
     assert result["figures"]["counter calls a try"] > 0.4
@@ -78,7 +79,10 @@
     out = tmp_path / "run"
     path = short(tmp_path, 5)
     running = subprocess.Popen(
-        [*LAB, "run", str(path), "--out", str(out), "--port", "18070"], env=ENV, stdout=subprocess.PIPE, text=True
+        [*LAB, "run", str(path), "--out", str(out), "--port", str(free_port())],
+        env=ENV,
+        stdout=subprocess.PIPE,
+        text=True,
     )
     ledger = out / "ledger" / "keeper.jsonl"
     until = time.monotonic() + 60
@@ -96,7 +100,7 @@
 
 def test_a_gateway_that_never_becomes_ready_is_told_with_its_last_line(tmp_path, monkeypatch):
     monkeypatch.setenv("PYTHONPATH", ENV["PYTHONPATH"])
-    run = Run(read(short(tmp_path)), 1, tmp_path / "run", 19070)
+    run = Run(read(short(tmp_path)), 1, tmp_path / "run", free_port())
     settings = run.settings
     run.settings = lambda g: settings(g) | ({"classes": "none"} if g == 4 else {})
     says = "not ready: b/g004 ended with 2: stoneyoke: 'classes' is missing"
@@ -117,16 +121,17 @@
 
 
 def test_a_busy_port_is_told_before_anything_starts(tmp_path):
-    with socket.create_server(("127.10.0.3", 19570)):
-        ran = lab("run", short(tmp_path), "--out", tmp_path / "busy", "--port", 19570)
-    assert ran.returncode == 2 and "127.10.0.3:19570 is busy" in ran.stderr
+    port = free_port("127.10.0.3")
+    with socket.create_server(("127.10.0.3", port)):
+        ran = lab("run", short(tmp_path), "--out", tmp_path / "busy", "--port", port)
+    assert ran.returncode == 2 and f"127.10.0.3:{port} is busy" in ran.stderr
     assert not (tmp_path / "busy").exists()
 
 
 def test_an_interrupted_run_leaves_no_process_and_a_partial_result(tmp_path):
     out = tmp_path / "run"
     running = subprocess.Popen(
-        [*LAB, "run", str(short(tmp_path, 30)), "--out", str(out), "--port", "20070"],
+        [*LAB, "run", str(short(tmp_path, 30)), "--out", str(out), "--port", str(free_port())],
         env=ENV,
         stdout=subprocess.PIPE,
         text=True,
@@ -147,7 +152,7 @@
 def test_a_lab_that_is_killed_takes_all_its_processes_along(tmp_path):
     out = tmp_path / "run"
     running = subprocess.Popen(
-        [*LAB, "run", str(short(tmp_path, 30)), "--out", str(out), "--port", "21070"],
+        [*LAB, "run", str(short(tmp_path, 30)), "--out", str(out), "--port", str(free_port())],
         env=ENV,
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
