Capacity: a laboratory command that measures hollow instances and hot paths by size

Change: python -m stoneyoke.lab.capacity measure drives the real controllers and control clients in simulated time with meters of processor time and bytes, and the hot paths apart; figures are fitted (constant, linear, n log n, square) and those beyond the measured sizes are marked so.

--- /dev/null
+++ b/stoneyoke/lab/capacity/figures.py
@@ -0,0 +1,87 @@
+"""Records of what was measured: a figure, the measurement that it belongs to, the series over an axis. No I/O."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Axis(StrEnum):
+    """What is made larger from one measurement to the next."""
+
+    ROUTES = "routes"
+    HOST_ROUTES = "routes on one host"
+    TENANTS = "tenants"
+    INSTANCES = "instances"
+    GATEWAYS = "gateways"
+    CHANGES = "changes a minute"
+    REGIONS = "regions"
+    MESSAGE_BYTES = "bytes of a message"
+
+
+# The operators' size; the issue names it. 14,000 changes a day are 9.7 a minute.
+TARGETS: dict[Axis, float] = {
+    Axis.ROUTES: 76_000,
+    Axis.HOST_ROUTES: 76_000,
+    Axis.TENANTS: 1_100_000,
+    Axis.INSTANCES: 200_000,
+    Axis.GATEWAYS: 3_800,
+    Axis.CHANGES: 14_000 / 1440,
+    Axis.REGIONS: 8,
+    Axis.MESSAGE_BYTES: 4_000_000,
+}
+
+
+class Figure(NamedTuple):
+    """One quantity. unit: "s", "B", "B/s", "1/s", "MB" or "" for a plain number."""
+
+    name: str
+    unit: str
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One measurement to make: a subject at one size of its axis."""
+
+    subject: str
+    axis: Axis
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """What came of a case. wall_s: how long it took; rss_mb: the measuring process's memory at its peak; failed: why
+    there are no figures, "" if there are."""
+
+    case: Case
+    figures: tuple[Figure, ...]
+    wall_s: float
+    rss_mb: float
+    failed: str = ""
+
+
+class Point(NamedTuple):
+    size: float
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """One figure of one subject over its axis."""
+
+    subject: str
+    axis: Axis
+    name: str
+    unit: str
+    points: tuple[Point, ...]
+
+
+def series_of(measurements: Iterable[Measurement]) -> list[Series]:
+    """The measurements turned over: for each subject and figure its values by size, in the order of the subjects."""
+    found: dict[tuple[str, Axis, str, str], list[Point]] = {}
+    for one in measurements:
+        for figure in one.figures:
+            place = (one.case.subject, one.case.axis, figure.name, figure.unit)
+            found.setdefault(place, []).append(Point(float(one.case.size), figure.value))
+    return [Series(*place, tuple(sorted(points))) for place, points in found.items()]
--- /dev/null
+++ b/stoneyoke/lab/capacity/report.py
@@ -0,0 +1,126 @@
+"""The measurements as a table and as JSON, each figure with its fit and what that foretells at the target. No I/O."""
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from stoneyoke.lab.capacity.figures import TARGETS, Measurement, Series, series_of
+from stoneyoke.lab.capacity.fits import Fit, Forecast, fits, forecast
+
+NANO, MICRO, MILLI = 1e-9, 1e-6, 1e-3
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure over its axis. beyond: by which factor the target lies beyond the largest size measured; 1 at most
+    where it is within."""
+
+    series: Series
+    fit: Fit | None
+    target: float
+    forecast: Forecast | None
+    beyond: float
+
+    def extrapolated(self) -> bool:
+        return self.beyond > 1.0
+
+
+def row_of(series: Series) -> Row:
+    found, target = fits(series.points), TARGETS[series.axis]
+    return Row(
+        series,
+        found[0] if found else None,
+        target,
+        forecast(found, target),
+        target / max(point.size for point in series.points),
+    )
+
+
+def shown(value: float, unit: str) -> str:
+    """Three digits, with the unit's usual prefix."""
+    if unit in ("s", "s/s"):
+        for scale, name in ((1.0, "s"), (MILLI, "ms"), (MICRO, "us"), (NANO, "ns")):
+            if abs(value) >= scale:
+                return f"{value / scale:.3g} {name}" + unit[1:]
+        return f"0 {unit}"
+    if unit in ("B", "B/s"):
+        for scale, name in ((1e9, "GB"), (1e6, "MB"), (1e3, "kB")):
+            if abs(value) >= scale:
+                return f"{value / scale:.3g} {name}" + unit[1:]
+    return f"{value:.3g} {unit}".strip()
+
+
+def line(row: Row) -> str:
+    series = row.series
+    points = ", ".join(f"{point.size:g}: {shown(point.value, series.unit)}" for point in series.points)
+    if row.fit is None or row.forecast is None:
+        return f"  {series.name}: {points}"
+    told = row.forecast
+    where = f"extrapolated x{row.beyond:.3g}" if row.extrapolated() else "within"
+    return (
+        f"  {series.name}: {points}\n"
+        f"      {row.fit.shape}, slope {row.fit.slope:.3g}, base {row.fit.base:.3g}, residual {row.fit.residual:.0%}; "
+        f"at {row.target:g} ({where}): {shown(told.value, series.unit)} "
+        f"[{shown(told.low, series.unit)} to {shown(told.high, series.unit)}]"
+    )
+
+
+def table(measurements: Sequence[Measurement]) -> str:
+    lines, subject = [], ""
+    for row in map(row_of, series_of(measurements)):
+        if row.series.subject != subject:
+            subject = row.series.subject
+            lines += ["", f"{subject} (axis: {row.series.axis})"]
+        lines.append(line(row))
+    lines.append("")
+    for one in measurements:
+        if one.failed:
+            lines.append(f"failed: {one.case.subject} at {one.case.size}: {one.failed}")
+    longest = max(measurements, key=lambda one: one.wall_s, default=None)
+    largest = max(measurements, key=lambda one: one.rss_mb, default=None)
+    if longest and largest:
+        lines.append(
+            f"longest: {longest.case.subject} at {longest.case.size}, {longest.wall_s:.0f} s; "
+            f"largest process: {largest.case.subject} at {largest.case.size}, {largest.rss_mb:.0f} MB"
+        )
+    return "\n".join(lines)
+
+
+def document(measurements: Sequence[Measurement], wall_s: float) -> str:
+    """All of it as JSON."""
+    return json.dumps(
+        {
+            "wall_s": round(wall_s, 1),
+            "measurements": [
+                {
+                    "subject": one.case.subject,
+                    "axis": one.case.axis,
+                    "size": one.case.size,
+                    "figures": {figure.name: [figure.value, figure.unit] for figure in one.figures},
+                    "wall_s": round(one.wall_s, 2),
+                    "rss_mb": round(one.rss_mb, 1),
+                    "failed": one.failed,
+                }
+                for one in measurements
+            ],
+            "fits": [
+                {
+                    "subject": row.series.subject,
+                    "figure": row.series.name,
+                    "unit": row.series.unit,
+                    "shape": row.fit.shape,
+                    "slope": row.fit.slope,
+                    "base": row.fit.base,
+                    "residual": row.fit.residual,
+                    "target": row.target,
+                    "at_target": row.forecast.value,
+                    "low": row.forecast.low,
+                    "high": row.forecast.high,
+                    "extrapolated": row.extrapolated(),
+                }
+                for row in map(row_of, series_of(measurements))
+                if row.fit and row.forecast
+            ],
+        },
+        indent=1,
+    )
--- /dev/null
+++ b/stoneyoke/lab/capacity/subjects.py
@@ -0,0 +1,45 @@
+"""What is measured, over which axis, at which sizes; the quick sizes are for a look of less than a minute."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stoneyoke.lab.capacity.figures import Axis, Case, Figure
+from stoneyoke.lab.capacity.hollow_fleet import FLEETS
+from stoneyoke.lab.capacity.hot_paths import PATHS
+
+WORK: dict[str, Callable[[int], list[Figure]]] = {**FLEETS, **PATHS}
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """The key of its work in WORK, and the sizes, the largest first: long work is begun first."""
+
+    name: str
+    axis: Axis
+    sizes: tuple[int, ...]
+    quick: tuple[int, ...]
+
+    def cases(self, quick: bool) -> list[Case]:
+        return [Case(self.name, self.axis, size) for size in (self.quick if quick else self.sizes)]
+
+
+SUBJECTS: tuple[Subject, ...] = (
+    Subject("fleet by gateways", Axis.GATEWAYS, (4000, 1000, 300, 100, 30), (100, 50, 30, 10)),
+    Subject("fleet by instances", Axis.INSTANCES, (10_000, 3000, 1000, 300, 100), (600, 300, 100, 30)),
+    Subject("fleet by routes", Axis.ROUTES, (10_000, 3000, 1000, 300, 100), (800, 400, 200, 100)),
+    Subject("fleet by changes", Axis.CHANGES, (60, 30, 10, 6), (60, 30, 10, 6)),
+    Subject("fleet by regions", Axis.REGIONS, (8, 4, 2, 1), (8, 4, 2, 1)),
+    Subject("gateway's directory", Axis.INSTANCES, (200_000, 50_000, 10_000, 1000, 100), (3000, 1000, 300, 100)),
+    Subject(
+        "configuration by tenants", Axis.TENANTS, (1_100_000, 100_000, 10_000, 1000, 100), (10_000, 3000, 1000, 100)
+    ),
+    Subject("quota allocator", Axis.TENANTS, (1_100_000, 100_000, 10_000, 1000, 10), (10_000, 1000, 100, 10)),
+    Subject("configuration by routes", Axis.ROUTES, (76_000, 10_000, 1000, 100), (3000, 1000, 300, 100)),
+    Subject("look-up on one host", Axis.HOST_ROUTES, (76_000, 10_000, 1000, 100), (3000, 1000, 300, 100)),
+    Subject("controller's registry", Axis.INSTANCES, (200_000, 50_000, 10_000, 1000, 100), (3000, 1000, 300, 100)),
+    Subject("controller's first beats", Axis.INSTANCES, (10_000, 3000, 1000, 300), (1000, 500, 300, 100)),
+    Subject("gateway's upstreams", Axis.INSTANCES, (10_000, 3000, 1000, 300), (1000, 500, 300, 100)),
+    Subject("configuration's key check", Axis.TENANTS, (6000, 3000, 1000, 300), (1000, 500, 300, 100)),
+    Subject("gateway's local quotas", Axis.TENANTS, (10_000, 3000, 1000, 100), (1000, 500, 300, 100)),
+    Subject("socket call", Axis.MESSAGE_BYTES, (1_000_000, 100_000, 10_000, 1000, 100), (100_000, 10_000, 1000, 100)),
+)
--- /dev/null
+++ b/stoneyoke/lab/capacity/workloads.py
@@ -0,0 +1,128 @@
+"""Configurations, backends' calls and records of any size, the same ones from the same size."""
+
+import json
+import random
+import string
+from typing import Any
+
+from stoneyoke.controlplane.instance_registry import Phase, Row
+
+ROUTES_PER_HOST = 20
+INSTANCES_PER_SERVICE = 54  # the operators': 200,000 in 3,700 services
+ROUTES_PER_SERVICE = 20  # the operators': 76,000 to 3,700 services
+KEYS_PER_TENANT = 2  # as in the operators' pages
+KEY_CHARACTERS = 20
+ZONES = 18
+BOUNDS = {
+    "contact_s": 3.0,
+    "apply_s": 2.5,
+    "drain_s": 2.5,
+    "grace_s": 6.0,
+    "catch_up_s": 4.0,
+    "retry_ratio": 0.2,
+    "retry_window_s": 10.0,
+    "retry_slack": 56.0,
+    "quota_window_s": 5.0,
+    "quota_excess": 0.1,
+    "quota_slack": 20.0,
+}
+
+
+def word(chance: random.Random, length: int) -> str:
+    return "".join(chance.choices(string.ascii_lowercase + string.digits, k=length))
+
+
+def service_name(at: int) -> str:
+    return f"service-{at:04d}"
+
+
+def route(chance: random.Random, service: str) -> dict[str, Any]:
+    """As the operators' example writes them."""
+    return {
+        "label": f"r-{word(chance, 7)}",
+        "path_prefix": f"/{word(chance, 7)}/{word(chance, 4)}/",
+        "route_kind": chance.choice(("pure", "effectful")),
+        "timeout_s": chance.choice((2, 5, 6)),
+        "target_s": chance.choice((0.5, 0.8, 1)),
+        "rank": chance.randrange(3),
+        "target_service": service,
+        "max_tries": 2,
+        "is_public": False,
+    }
+
+
+def tenant(chance: random.Random, at: int) -> dict[str, Any]:
+    return {
+        "label": f"tenant-{at:07d}",
+        "api_keys": [word(chance, KEY_CHARACTERS) for _ in range(KEYS_PER_TENANT)],
+        "rank": at % 3,
+        "rate_per_s": 33,
+        "burst_size": 33,
+    }
+
+
+def configuration(routes: int = 20, tenants: int = 8, number: int = 1, routes_per_host: int = ROUTES_PER_HOST) -> bytes:
+    """The operator's text."""
+    chance = random.Random(7)
+    services = max(1, routes // ROUTES_PER_SERVICE)
+    rows = [route(chance, service_name(at % services)) for at in range(routes)]
+    return json.dumps(
+        {
+            "generation": f"r{number}",
+            "service_list": [
+                {
+                    "label": service_name(at),
+                    "health_path": "/health",
+                    "max_conns": 130,
+                    "protocol": "h1",
+                    "tls_mode": False,
+                }
+                for at in range(services)
+            ],
+            "limits": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1 << 26,
+                "header_timeout_s": 3,
+                "idle_timeout_s": 15,
+            },
+            "tenant_list": [tenant(chance, at) for at in range(tenants)],
+            "host_map": [
+                {
+                    "hostname": f"host-{first // routes_per_host}.example",
+                    "path_map": rows[first : first + routes_per_host],
+                }
+                for first in range(0, routes, routes_per_host)
+            ],
+        },
+        separators=(",", ":"),
+    ).encode()
+
+
+def instance_name(at: int) -> str:
+    return f"i-{at:08x}"
+
+
+def address(at: int) -> str:
+    return f"10.{at >> 16 & 255}.{at >> 8 & 255}.{at & 255}:8080"
+
+
+def row(at: int, call_seq: int = 1, phase: Phase = Phase.READY) -> Row:
+    """A backend as cores tell of it."""
+    service = service_name(at // INSTANCES_PER_SERVICE)
+    return Row(instance_name(at), address(at), service, f"zone-{at % ZONES:02d}", "v1", 2, int(phase), call_seq, 0.0)
+
+
+def heartbeat(at: int, call_seq: int, phase: str = "ready") -> bytes:
+    """A backend's call, as the protocol writes it."""
+    return json.dumps(
+        {
+            "address": address(at),
+            "details": {
+                "target_service": service_name(at // INSTANCES_PER_SERVICE),
+                "generation": "v1",
+                "zone_name": f"zone-{at % ZONES:02d}",
+                "capacity": 2,
+            },
+            "observed": {"phase": phase, "call_seq": call_seq, "warmup_left_s": 0},
+        }
+    ).encode()
