--- a/stoneyoke/lab/capacity/hot_paths.py
+++ b/stoneyoke/lab/capacity/hot_paths.py
@@ -23,7 +23,16 @@
 from stoneyoke.net.room import Room
 from stoneyoke.runtime import Clock
 from stoneyoke.tally import Tally
-from stoneyoke.transport.messages import FetchRequest, FetchResponse, Message, PullResponse, pack, unpack
+from stoneyoke.transport.messages import (
+    FetchRequest,
+    FetchResponse,
+    Message,
+    PullResponse,
+    QuotaRequest,
+    QuotaResponse,
+    pack,
+    unpack,
+)
 from stoneyoke.transport.peers import PeerClient, PeerServer
 
 BEAT_S = 1.5
@@ -277,8 +286,11 @@
         now += 0.00001
         quotas.draw("gateway-1", "life", 0.0, False, wants, now)
 
+    drawn = quotas.draw("gateway-1", "life", 0.0, False, wants, now)
+    asked = QuotaRequest("gateway-0001", "0123456789ab", 250, False, wants)
     return [
         Figure("stores held", "MB", megabytes(of_quotas.held)),
+        Figure("one draw of 100 tenants, both ways", "B", len(pack(1, asked) + pack(1, QuotaResponse(True, drawn)))),
         Figure("one draw of 100 tenants, 0.25 s after the last", "s", processor_s(draw)),
         Figure("one draw of 100 tenants, right after another", "s", processor_s(quick_draw)),
     ]
--- a/stoneyoke/lab/capacity/meters.py
+++ b/stoneyoke/lab/capacity/meters.py
@@ -57,6 +57,7 @@
 def heap(work: Callable[[], R]) -> tuple[R, Heap]:
     """Of what this work makes and returns. Slows it down, so its time is measured apart."""
     gc.collect()
+    gc.disable()
     tracemalloc.start()
     try:
         done = work()
@@ -64,6 +65,7 @@
         return done, Heap(*tracemalloc.get_traced_memory())
     finally:
         tracemalloc.stop()
+        gc.enable()
 
 
 def peak_rss_mb() -> float:
