--- a/stoneyoke/lab/capacity/hot_paths.py
+++ b/stoneyoke/lab/capacity/hot_paths.py
@@ -5,6 +5,9 @@
 import time
 import zlib
 from collections.abc import Callable
+from dataclasses import replace
+from types import GenericAlias
+from typing import Any, get_args, get_origin
 
 from stoneyoke.api.calls import Heartbeat, ask
 from stoneyoke.api.configuration import CONFIGURATION, Configuration, Version, read_configuration, read_json
@@ -24,6 +27,7 @@
 from stoneyoke.runtime import Clock
 from stoneyoke.tally import Tally
 from stoneyoke.transport.messages import (
+    TYPES,
     FetchRequest,
     FetchResponse,
     Message,
@@ -33,6 +37,7 @@
     pack,
     unpack,
 )
+from stoneyoke.transport.messages import Row as MessageRow
 from stoneyoke.transport.peers import PeerClient, PeerServer
 
 BEAT_S = 1.5
@@ -146,11 +151,18 @@
     return registry
 
 
+def empty(kind: Any) -> Any:
+    """The value of a message's field that says nothing."""
+    if isinstance(kind, GenericAlias):
+        return [] if get_origin(kind) is list else tuple(empty(part) for part in get_args(kind))
+    return kind()
+
+
 def pull_response(registry: InstanceRegistry, rows: list[Row], whole: bool) -> PullResponse:
-    stamp, names = (1, b"0" * 16), list(CONTROLLERS)
-    return PullResponse(
-        "life", registry.seq, whole, list(rows), stamp, True, True, 1, names, names[0], False, "zone-00", 1, names, []
-    )
+    """What a controller tells of backends; all that it tells besides is empty."""
+    silent = PullResponse(*(empty(kind) for kind in TYPES[PullResponse]))
+    told: list[MessageRow] = list(rows)
+    return replace(silent, life="life", seq=registry.seq, whole=whole, rows=told, settled=True, roll=1)
 
 
 def heard(beat: object) -> Row:
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -6,7 +6,18 @@
 from stoneyoke.lab.capacity.figures import Axis, Case, Figure, Measurement, Point, series_of
 from stoneyoke.lab.capacity.fits import fits, forecast
 from stoneyoke.lab.capacity.hollow_fleet import Shape, fleet_figures
-from stoneyoke.lab.capacity.hot_paths import check_keys, configuration_by_routes, first_beats
+from stoneyoke.lab.capacity.hot_paths import (
+    allocator,
+    beats,
+    check_keys,
+    configuration_by_routes,
+    configuration_by_tenants,
+    directory,
+    first_beats,
+    local_quota,
+    socket_call,
+    upstreams,
+)
 from stoneyoke.lab.capacity.metered_network import OWNER, MeteredLoop
 from stoneyoke.lab.capacity.report import document, row_of, shown, table
 from stoneyoke.lab.capacity.runner import measure
@@ -113,6 +124,27 @@
     assert checks[600] > 40 * checks[30] > 0  # 20 times the size
 
 
+@test("every hot path tells all its figures, each over 0")
+def _():
+    for path, least in (
+        (beats, 8),
+        (directory, 5),
+        (upstreams, 2),
+        (allocator, 4),
+        (local_quota, 4),
+        (configuration_by_tenants, 7),
+        (socket_call, 1),
+    ):
+        figures = path(40)
+        assert len(figures) >= least and all(figure.value > 0 for figure in figures), path
+
+
+@test("a gateway holds each backend once, whoever tells of it: bytes grow with backends alone")
+def _():
+    held = {size: values(directory(size))["directory held"] for size in (100, 400)}
+    assert 3 < held[400] / held[100] < 5
+
+
 @test("processor time is charged to the machine whose step it was")
 def _():
     loop = MeteredLoop()
