--- a/stoneyoke/lab/capacity/hollow_fleet.py
+++ b/stoneyoke/lab/capacity/hollow_fleet.py
@@ -154,7 +154,7 @@
                 controller.blocking = disk.blocking  # type: ignore[method-assign, assignment]
                 await controller.start()
             self.controllers[name] = controller
-            self.network.ports[name] = controller.meet
+            self.network.ports[name] = controller.answer
 
     def start_gateway(self, at: int) -> None:
         name = f"gateway-{at:04d}"
