--- a/stoneyoke/controlplane/controller.py
+++ b/stoneyoke/controlplane/controller.py
@@ -24,9 +24,8 @@
 from stoneyoke.api.schema import InvalidField
 from stoneyoke.controlplane.configuration_service import ConfigurationService
 from stoneyoke.controlplane.consensus import NO_BALLOT, Ballot
-from stoneyoke.controlplane.discovery_service import DiscoveryService
+from stoneyoke.controlplane.discovery_service import DiscoveryService, Surroundings
 from stoneyoke.controlplane.heartbeat_ring import HeartbeatWatch
-from stoneyoke.controlplane.instance_registry import Row
 from stoneyoke.controlplane.membership import Membership
 from stoneyoke.controlplane.peers import Peer, Peers
 from stoneyoke.controlplane.quota_lease import QuotaLease
@@ -123,17 +122,18 @@
         """Raises StorageError or BadRecord if the disk can't be used."""
         await self.replica.load(self.seeds, self.first_start, self.chance)
         fresh = self.first_start and self.replica.acceptor.promised == NO_BALLOT
-        self.discovery = DiscoveryService(
-            self.ip,
-            silent_s=self.silent_s,
-            fresh=fresh,
+        surroundings = Surroundings(
+            own_address=self.ip,
             voters=lambda: self.replica.voters().addresses(),
-            peers=lambda: self.peers,
+            peers=self.peers.links,
             in_touch=self.in_touch,
             clock=self.clock,
             changed=self.changed,
             spawn=self.spawn,
         )
+        self.discovery = DiscoveryService(
+            surroundings, silent_s=self.silent_s, everyone_beats_s=self.silent_s, first_start=fresh
+        )
         self.lease = QuotaLease(
             self.replica,
             self.peers,
@@ -235,12 +235,13 @@
             self.life,
             -1,
         )
+        begun_at = self.clock()
         news = await peer.link.call(request, CALL_S + PULL_S)
         if not isinstance(news, PullResponse):
             raise PeerUnreachable("an answer of another kind")
         peer.hear(news, self.clock())
-        self.discovery.apply_rows([Row(*row) for row in news.rows])
-        self.discovery.pulled_from(address, news.settled)
+        self.discovery.hear_rows(news.rows)
+        self.discovery.pulled_from(address, news.settled, begun_at)
         self.meet(*news.cores)
         if peer.chosen_ballot > (self.replica.chosen.ballot if self.replica.chosen else NO_BALLOT):
             await self.replication.catch_up(address, peer.chosen_ballot)
@@ -283,9 +284,9 @@
             case ChosenNotice():
                 return await self.replication.noticed(message)
             case InstanceUpdate():
-                return self.discovery.updated(message)
+                return self.discovery.update(message)
             case InstanceRefresh():
-                return self.discovery.refreshed(message)
+                return self.discovery.refresh(message)
             case LeaseRequest():
                 return self.lease.asked(message)
             case QuotaRequest():
--- a/stoneyoke/controlplane/peers.py
+++ b/stoneyoke/controlplane/peers.py
@@ -1,7 +1,7 @@
 """The other controllers, as this one hears them: who answers at an address, what it holds, since when it is steady."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -69,7 +69,7 @@
     def __getitem__(self, address: str) -> Peer:
         return self.known[address]
 
-    def __iter__(self):  # type: ignore[no-untyped-def]
+    def __iter__(self) -> Iterator[str]:
         return iter(self.known)
 
     def __len__(self) -> int:
@@ -83,6 +83,10 @@
             self.meet(address, peer)
         return bool(new)
 
+    def links(self) -> dict[str, PeerLink]:
+        """The way to each."""
+        return {address: peer.link for address, peer in self.known.items()}
+
     def in_touch(self, address: str) -> bool:
         peer = self.known.get(address)
         return peer is not None and self.clock() - peer.heard_at < TOUCH_S
--- a/stoneyoke/lab/simulation/exhaustive/checks.py
+++ b/stoneyoke/lab/simulation/exhaustive/checks.py
@@ -59,9 +59,7 @@
     """An operator was told of this value."""
     ghost = state.ghost
     shown = Floor(max(ghost.shown.ballot, chosen.ballot), max(ghost.shown.number, chosen.value.version.number))
-    return state._replace(
-        ghost=ghost._replace(shown=shown, acknowledged=ghost.acknowledged | frozenset(acknowledged))
-    )
+    return state._replace(ghost=ghost._replace(shown=shown, acknowledged=ghost.acknowledged | frozenset(acknowledged)))
 
 
 # ---- what must hold ----
