A controller that is cut off does not name itself as the holder of the quotas' lease

Change: its own grant counts only while it holds the lease; it does not ask while most voters are not in touch; the allocator goes when the lease has ended.

--- a/stoneyoke/controlplane/quota_lease.py
+++ b/stoneyoke/controlplane/quota_lease.py
@@ -49,9 +49,13 @@
         return self.holder.holds(self.clock())
 
     def holder_known(self) -> str:
-        """Address of who holds it by this controller's grant, "" if nobody."""
+        """Address of who holds it, as far as known here, "" if nobody. A grant to itself counts only once a majority
+        has given theirs: gateways that believed a controller which was cut off left the true holder again and again
+        (a cut of 20 s cost 0.09 of a day's worth)."""
         grant, now = self.granter.grants.get(QUOTAS), self.clock()
-        return grant.holder if grant and now < grant.until else ""
+        if grant is None or now >= grant.until:
+            return ""
+        return grant.holder if grant.holder != self.peers.own or self.holds() else ""
 
     async def tend(self) -> None:
         """For as long as this process lives."""
@@ -62,14 +66,14 @@
                 continue
             if self.may_ask(held):
                 await self.ask_in_turn(held)
-            if self.holds() != held or not held:
-                self.renew_allocator()
+            self.renew_allocator()
             await asyncio.sleep(RENEW_S if held else IDLE_S)
 
     def may_ask(self, held: bool) -> bool:
         return (
             self.replica.chosen is not None
             and self.replica.votes()
+            and (held or self.peers.majority_in_touch(self.replica.voters().members, self.replica.identity))
             and (held or self.holder_known() in ("", self.peers.own))
         )
 
@@ -100,6 +104,7 @@
         if asked:
             await asyncio.wait(asked, timeout=ASK_S)
         if not self.holds():
+            self.renew_allocator()
             await self.give_back()
 
     async def give_back(self) -> None:
--- a/tests/system/controller_cluster.py
+++ b/tests/system/controller_cluster.py
@@ -108,12 +108,10 @@
                 other, kind = self.address[0], type(message).__name__
                 cluster.carried[kind] = cluster.carried.get(kind, 0) + 1
                 await asyncio.sleep(0)
-                if (
-                    other in cluster.down
-                    or other not in cluster.controllers
-                    or {own, other} in cluster.cuts
-                    or (kind in cluster.lost.get(other, ()))
-                ):
+                if other in cluster.down or other not in cluster.controllers:
+                    raise PeerUnreachable(other)
+                if {own, other} in cluster.cuts or kind in cluster.lost.get(other, ()):
+                    await asyncio.sleep(within_s)  # a cut says nothing
                     raise PeerUnreachable(other)
                 answer = await cluster.controllers[other].answer(unpack(pack(1, message)[4:])[1])
                 if cluster.cutting == (own, kind):
--- a/tests/system/test_controller.py
+++ b/tests/system/test_controller.py
@@ -316,6 +316,26 @@
     run(play)
 
 
+@test("a controller that is cut off from the others never names itself as the holder of the lease")
+def _():
+    async def play(cluster):
+        await cluster.until(lambda: lease_holders(cluster))
+        first = lease_holders(cluster)[0]
+        other = next(name for name in cluster.names if name != first)
+        for name in (first, other):
+            cluster.cut(name)
+            alone = cluster.controllers[name]
+            await cluster.until(lambda alone=alone: not alone.in_touch() and not alone.lease.holds())
+            for _ in range(2000):
+                assert alone.lease.holder_known() != name
+                await asyncio.sleep(0.01)
+            cluster.cuts = set()
+            await touch(cluster)
+            await cluster.until(lambda: lease_holders(cluster))
+
+    run(play)
+
+
 @test("five controllers that are to bear two losses: those that were no seeds are made voters")
 def _():
     async def play(cluster):
