--- a/stoneyoke/lab/cluster.py
+++ b/stoneyoke/lab/cluster.py
@@ -1,8 +1,8 @@
-"""The whole system on one machine: real controllers and pilots on loopback, between stand-in backends, a client and
+"""The whole system on one machine: real controllers and gateways on loopback, between stand-in backends, a client and
 an operator, with processes killed between them and a ledger that judges what was seen on the sockets.
 
     python -m stoneyoke.lab.cluster                  # brings it up and leaves it up until Ctrl-C
-    python -m stoneyoke.lab.cluster --seconds 12     # a trial: traffic, a new configuration, a core and a pilot killed
+    python -m stoneyoke.lab.cluster --seconds 12     # a trial: traffic, a new configuration, a core and a gateway killed
 """
 
 import asyncio
@@ -22,7 +22,7 @@
 from stoneyoke.net.http import Malformed, Message, Messages, status_line, write_message
 
 SECONDS = flags.DEFINE_float("seconds", 0.0, "Length of a trial; 0: up until Ctrl-C, without traffic or faults.")
-PILOTS = flags.DEFINE_integer("pilots", 2, "Gateways.", lower_bound=1)
+GATEWAYS = flags.DEFINE_integer("gateways", 2, "Gateways.", lower_bound=1)
 RATE = flags.DEFINE_float("rate", 40.0, "Requests a second in a trial.", lower_bound=0.1, upper_bound=500)
 SEED = flags.DEFINE_integer("seed", 1, "Of the trial's chance.")
 PORT = 7340
@@ -100,8 +100,8 @@
 class Backend:
     """A stand-in: beats, works for a while, stamps. Each answer names the request's id."""
 
-    def __init__(self, service: str, number: int, ledger: Ledger, cores: list[tuple[str, int]]) -> None:
-        self.service, self.ledger, self.cores = service, ledger, cores
+    def __init__(self, service: str, number: int, ledger: Ledger, controllers: list[tuple[str, int]]) -> None:
+        self.service, self.ledger, self.controllers = service, ledger, controllers
         self.instance, self.ip, self.seq = f"i-{service}-{number}", f"127.0.3.{number}", 0
 
     async def run(self) -> None:
@@ -116,7 +116,7 @@
                 }
             ).encode()
             head = b"POST /instances/%s/heartbeat HTTP/1.1\r\nHost: control\r\n" % self.instance.encode()
-            for core in random.sample(self.cores, len(self.cores)):
+            for core in random.sample(self.controllers, len(self.controllers)):
                 answer = await ask(core, head, body, 1.0)
                 if answer and answer.status == 200:
                     break
@@ -143,24 +143,24 @@
             writer.close()
 
 
-class Harbour:
-    """Processes by name, each with a settings file and, for cores, a folder."""
+class Cluster:
+    """Processes by name, each with a settings file and, for controllers, a folder."""
 
-    def __init__(self, folder: Path, pilots: int) -> None:
+    def __init__(self, folder: Path, gateways: int) -> None:
         self.folder = folder
-        self.cores = {f"core-{at}": f"127.0.1.{at}" for at in (1, 2, 3)}
-        self.pilots = {f"edge-{at}": f"127.0.2.{at}" for at in range(1, pilots + 1)}
+        self.controllers = {f"core-{at}": f"127.0.1.{at}" for at in (1, 2, 3)}
+        self.gateways = {f"edge-{at}": f"127.0.2.{at}" for at in range(1, gateways + 1)}
         self.running: dict[str, asyncio.subprocess.Process] = {}
         self.started: set[str] = set()
 
     def control(self) -> list[tuple[str, int]]:
-        return [(ip, 8783) for ip in self.cores.values()]
+        return [(ip, 8783) for ip in self.controllers.values()]
 
     def settings(self, name: str) -> Path:
-        core, ip = name in self.cores, (self.cores | self.pilots)[name]
+        core, ip = name in self.controllers, (self.controllers | self.gateways)[name]
         binds = f'control_addr = "{ip}:8783"' if core else f'front_addr = "{ip}:8782"\nready_addr = "{ip}:8789"'
         disk = f'data_dir = "{self.folder / name}"\n' if core else ""
-        seeds = ", ".join(f'"{one}:8783"' for one in self.cores.values())
+        seeds = ", ".join(f'"{one}:8783"' for one in self.controllers.values())
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'[self]\nnode_name = "{name}"\nip_addr = "{ip}"\nzone_name = "quay"\n'
@@ -171,7 +171,7 @@
         return path
 
     async def start(self, name: str) -> None:
-        program = "controller" if name in self.cores else "gateway"
+        program = "controller" if name in self.controllers else "gateway"
         self.running[name] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", f"stoneyoke.programs.{program}", f"--settings={self.settings(name)}"
         )
@@ -197,7 +197,7 @@
 
     async def ready(self, name: str) -> None:
         while True:
-            answer = await ask((self.pilots[name], 8789), b"GET /ready HTTP/1.1\r\nHost: x\r\n", within_s=1.0)
+            answer = await ask((self.gateways[name], 8789), b"GET /ready HTTP/1.1\r\nHost: x\r\n", within_s=1.0)
             if answer and answer.status == 200:
                 return
             await asyncio.sleep(0.05)
@@ -206,8 +206,8 @@
 class Client:
     """Sends requests to gateways by chance; tries again as PROTOCOL says, each try with an id of its own."""
 
-    def __init__(self, harbour: Harbour, ledger: Ledger, chance: random.Random) -> None:
-        self.harbour, self.ledger, self.chance = harbour, ledger, chance
+    def __init__(self, cluster: Cluster, ledger: Ledger, chance: random.Random) -> None:
+        self.cluster, self.ledger, self.chance = cluster, ledger, chance
         self.marks = itertools.count(1)
         self.served = self.given_up = 0
 
@@ -221,7 +221,7 @@
                 b"%s %s HTTP/1.1\r\nHost: meter.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 2000\r\n"
                 b"Api-Key: bureau-key\r\n" % (b"POST" if order else b"GET", path, mark.encode())
             )
-            ip = self.chance.choice(list(self.harbour.pilots.values()))
+            ip = self.chance.choice(list(self.cluster.gateways.values()))
             answer = await ask((ip, 8782), head, b"order" if order else b"")
             status = self.ledger.answers[mark] = answer.status if answer else 0
             if status == 200 and answer:
@@ -247,66 +247,66 @@
         await asyncio.gather(*out)
 
 
-async def bring_up(harbour: Harbour, ledger: Ledger) -> list[asyncio.Task[None]]:
-    for name in (*harbour.cores, *harbour.pilots):
-        await harbour.start(name)
-    stand_ins = [Backend(SERVICES[at % 2], at + 1, ledger, harbour.control()) for at in range(4)]
+async def bring_up(cluster: Cluster, ledger: Ledger) -> list[asyncio.Task[None]]:
+    for name in (*cluster.controllers, *cluster.gateways):
+        await cluster.start(name)
+    stand_ins = [Backend(SERVICES[at % 2], at + 1, ledger, cluster.control()) for at in range(4)]
     tasks = [asyncio.create_task(one.run()) for one in stand_ins]
-    await harbour.put(1)
-    await asyncio.gather(*(harbour.ready(name) for name in harbour.pilots))
+    await cluster.put(1)
+    await asyncio.gather(*(cluster.ready(name) for name in cluster.gateways))
     return tasks
 
 
-async def trial(seconds: float, pilots: int, rate: float, seed: int) -> tuple[Ledger, Client]:
-    """Traffic; then a new configuration; a core killed; a pilot killed; each comes back."""
+async def trial(seconds: float, gateways: int, rate: float, seed: int) -> tuple[Ledger, Client]:
+    """Traffic; then a new configuration; a core killed; a gateway killed; each comes back."""
     ledger, chance = Ledger(), random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
-        harbour = Harbour(Path(folder), pilots)
-        client = Client(harbour, ledger, chance)
+        cluster = Cluster(Path(folder), gateways)
+        client = Client(cluster, ledger, chance)
         tasks: list[asyncio.Task[None]] = []
         try:
-            tasks = await bring_up(harbour, ledger)
+            tasks = await bring_up(cluster, ledger)
             traffic = asyncio.create_task(client.press(seconds, rate))
             await asyncio.sleep(seconds / 5)
-            await harbour.put(2)
-            for name in (chance.choice(list(harbour.cores)), chance.choice(list(harbour.pilots))):
+            await cluster.put(2)
+            for name in (chance.choice(list(cluster.controllers)), chance.choice(list(cluster.gateways))):
                 await asyncio.sleep(seconds / 10)
-                await harbour.kill(name)
+                await cluster.kill(name)
                 await asyncio.sleep(min(DOWN_S, seconds / 10))
-                await harbour.start(name)
+                await cluster.start(name)
             await traffic
-            answer = await ask(harbour.control()[0], b"GET /config/read HTTP/1.1\r\nHost: control\r\n")
+            answer = await ask(cluster.control()[0], b"GET /config/read HTTP/1.1\r\nHost: control\r\n")
             if answer is None or json.loads(answer.body or b"{}").get("generation") != "r2":
                 ledger.wrong.append("CONFIG: what was acknowledged was not read back")
         finally:
             for task in tasks:
                 task.cancel()
-            await harbour.close()
+            await cluster.close()
     return ledger, client
 
 
-async def stay(pilots: int) -> None:
+async def stay(gateways: int) -> None:
     with tempfile.TemporaryDirectory() as folder:
-        harbour = Harbour(Path(folder), pilots)
+        cluster = Cluster(Path(folder), gateways)
         try:
-            tasks = await bring_up(harbour, Ledger())
-            print("up:", ", ".join(f"{name} at {ip}" for name, ip in (harbour.cores | harbour.pilots).items()))
-            print("processes:", ", ".join(f"{name} {one.pid}" for name, one in harbour.running.items()))
+            tasks = await bring_up(cluster, Ledger())
+            print("up:", ", ".join(f"{name} at {ip}" for name, ip in (cluster.controllers | cluster.gateways).items()))
+            print("processes:", ", ".join(f"{name} {one.pid}" for name, one in cluster.running.items()))
             print(
                 "  curl -H 'Host: meter.example' -H 'Api-Key: bureau-key' -H 'Attempt-Id: 1' http://127.0.2.1:8782/usage/x"
             )
             print("  python -m stoneyoke.programs.stoneyokectl --core 127.0.1.1:8783,127.0.1.2:8783 look")
             await asyncio.gather(*tasks)
         finally:
-            await harbour.close()
+            await cluster.close()
 
 
 def run(_: list[str]) -> None:
     if not SECONDS.value:
         with contextlib.suppress(KeyboardInterrupt):
-            asyncio.run(stay(PILOTS.value))
+            asyncio.run(stay(GATEWAYS.value))
         return
-    ledger, client = asyncio.run(trial(SECONDS.value, PILOTS.value, RATE.value, SEED.value))
+    ledger, client = asyncio.run(trial(SECONDS.value, GATEWAYS.value, RATE.value, SEED.value))
     broken = ledger.judge()
     print(
         f"{client.served} requests served, {client.given_up} given up, {len(ledger.answers)} tries, "
--- a/stoneyoke/programs/stoneyokectl.py
+++ b/stoneyoke/programs/stoneyokectl.py
@@ -23,6 +23,8 @@
 from stoneyoke.controlplane.consensus import NO_BALLOT, ReplicaId
 from stoneyoke.controlplane.record_formats import (
     IDENTITY,
+    OLD_CONFIGURATION,
+    OLD_VOTERS,
     PROMISE,
     REGISTER,
     BadRecord,
@@ -210,7 +212,11 @@
         held = read_register(record)
         voters = ", ".join(f"{one.address}/{one.disk}" for one in held.value.voters.members)
         return f"{held.value.version} under ballot {held.ballot.counter}, voters {held.value.voters.number}: {voters}"
-    return "of an earlier release"
+    if family == OLD_CONFIGURATION:
+        return f"{read_configuration(record[b'body']).version}, of an earlier release"
+    if family == OLD_VOTERS:
+        return f"voters {record[b'names'].decode()}, of an earlier release"
+    return "of no family that is known here"
 
 
 def records(folder: str) -> None:
@@ -221,7 +227,7 @@
             continue
         try:
             told = told_of(family, store.read(family, number))
-        except (StorageError, BadRecord) as bad:
+        except (StorageError, BadRecord, InvalidField, KeyError) as bad:
             lines.append(f"{family}-{number}: {bad}")
             found.append({"family": family, "number": number, "torn": True})
             continue
