--- a/stoneyoke/controlplane/discovery_service.py
+++ b/stoneyoke/controlplane/discovery_service.py
@@ -57,19 +57,21 @@
 
 
 class DiscoveryService:
-    """silent_s: see InstanceRegistry. everyone_beats_s, first_start: see Settlement."""
+    """silent_s: see InstanceRegistry. everyone_beats_s: see Settlement."""
 
-    def __init__(
-        self, surroundings: Surroundings, *, silent_s: float, everyone_beats_s: float, first_start: bool
-    ) -> None:
+    def __init__(self, surroundings: Surroundings, *, silent_s: float, everyone_beats_s: float) -> None:
         self.surroundings, self.clock = surroundings, surroundings.clock
         self.registry = InstanceRegistry(silent_s)
-        self.settlement = Settlement(surroundings.own_address, self.clock(), everyone_beats_s, first_start)
+        self.settlement = Settlement(surroundings.own_address, self.clock(), everyone_beats_s)
         self.swept_at = self.clock()
         self.stale_until = -1e9
         self.told: dict[str, Row] = {}  # what other controllers were told of an instance last
         self.heard: dict[str, None] = {}  # instances whose heartbeats came here since others were told
 
+    def first_start(self) -> None:
+        """To be called once the disk has shown that this is the whole system's first start."""
+        self.settlement.first_start()
+
     # ---- what backends say ----
 
     async def heartbeat(self, beat: Heartbeat) -> Answer:
--- a/stoneyoke/controlplane/settlement.py
+++ b/stoneyoke/controlplane/settlement.py
@@ -25,19 +25,22 @@
 @dataclass(slots=True)
 class Settlement:
     """began_at: of this process. everyone_beats_s: in which each backend has sent a heartbeat that all in touch know
-    of. first_start: of the whole system, on empty disks: nothing was acknowledged before."""
+    of."""
 
     own_address: str
     began_at: float
     everyone_beats_s: float
-    first_start: bool
     settled: bool = False
     voter: bool | None = None  # None: who votes has not been known yet
     apart_at: float = field(init=False)  # when it was last seen out of touch with a majority, or had stood still
     pulled: set[str] = field(default_factory=set)  # from whom, settled, since it may count
 
     def __post_init__(self) -> None:
-        self.settled, self.apart_at = self.first_start, self.began_at
+        self.apart_at = self.began_at
+
+    def first_start(self) -> None:
+        """Of the whole system, on empty disks: nothing was acknowledged before."""
+        self.settled = True
 
     def voters_are(self, voters: tuple[str, ...], now: float) -> None:
         """Who votes, as often as it may have changed."""
--- a/tests/system/test_discovery_service.py
+++ b/tests/system/test_discovery_service.py
@@ -65,8 +65,9 @@
             ),
             silent_s=5.0,
             everyone_beats_s=EVERYONE_S,
-            first_start=first_start,
         )
+        if first_start:
+            self.services[name].first_start()
         return self.services[name]
 
     def spawn(self, work):
@@ -275,10 +276,11 @@
 
 @test("the system's first start is settled at once; who becomes a voter while it runs starts over")
 def _():
-    settlement = Settlement("d", 0.0, EVERYONE_S, True)
+    settlement = Settlement("d", 0.0, EVERYONE_S)
+    settlement.first_start()
     assert settlement.decide((), 0.0) and settlement.decide(("a", "b", "c"), 1.0)
     assert not settlement.decide(("a", "b", "d"), 9.0)
     for name in "ab":
         settlement.pulled_from(name, True, 9.0 + COUNTED_S)
     assert settlement.decide(("a", "b", "d"), 10.0)
-    assert not Settlement("a", 0.0, EVERYONE_S, False).decide((), 99.0)  # who votes is not known
+    assert not Settlement("a", 0.0, EVERYONE_S).decide((), 99.0)  # who votes is not known
