Discovery: whoever waits for news is woken when a controller becomes settled

Cause: gateways that start hear of it by their pulls, which are held for a second until there is news.

--- a/stoneyoke/controlplane/discovery_service.py
+++ b/stoneyoke/controlplane/discovery_service.py
@@ -171,8 +171,11 @@
 
     def pulled_from(self, address: str, settled: bool, begun_at: float) -> None:
         """To be called after each pull whose rows were heard whole; begun_at: when the request was sent."""
+        before = self.settlement.settled
         self.settlement.voters_are(self.surroundings.voters(), self.clock())
         self.settlement.pulled_from(address, settled, begun_at)
+        if self.settled() != before:
+            self.surroundings.changed()  # gateways that start wait for it
 
     # ---- time ----
 
@@ -183,13 +186,13 @@
             self.sweep()
 
     def sweep(self) -> None:
-        now, seq = self.clock(), self.registry.seq
+        now, before = self.clock(), (self.registry.seq, self.settlement.settled)
         if now - self.swept_at > STOOD_STILL_S:
             self.stale_until = now + STALE_S
         self.swept_at = now
-        self.settled()
+        settled = self.settled()
         self.registry.sweep(now)
-        if self.registry.seq > seq:
+        if (self.registry.seq, settled) != before:
             self.surroundings.changed()
 
     def may_be_stale(self) -> bool:
--- a/tests/system/test_discovery_service.py
+++ b/tests/system/test_discovery_service.py
@@ -42,7 +42,7 @@
     def __init__(self, count, first_start=True):
         self.names = [f"10.0.0.{at}" for at in range(1, count + 1)]
         self.voters, self.in_touch, self.ahead_s = tuple(self.names), True, 0.0
-        self.tasks, self.services, self.links = set(), {}, {}
+        self.tasks, self.services, self.links, self.woken = set(), {}, {}, []
         for name in self.names:
             self.start(name, first_start)
 
@@ -60,7 +60,7 @@
                 lambda: links,
                 lambda: self.in_touch,
                 self.clock,
-                lambda: None,
+                lambda: self.woken.append(name),
                 self.spawn,
             ),
             silent_s=5.0,
@@ -206,7 +206,9 @@
         await town.passes(COUNTED_S)
         town.pull("10.0.0.2", "10.0.0.3")
         assert not again.settled() and not again.registry.records
+        town.woken.clear()
         town.pull("10.0.0.2", "10.0.0.1")
+        assert town.woken == ["10.0.0.2", "10.0.0.2"]  # by the row and as it is settled
         assert again.settled() and again.registry.records["i-1"].row.phase == Phase.DRAINING
 
     play(story)
@@ -268,8 +270,9 @@
         assert not one.settled()
         town.ahead_s += EVERYONE_S  # it stood still: it heard nobody meanwhile
         assert not one.settled()
+        town.woken.clear()
         await town.passes(EVERYONE_S + STALE_S + 2 * SWEEP_EVERY_S)
-        assert one.settled()
+        assert one.settled() and "10.0.0.1" in town.woken
 
     play(story, first_start=False)
 
