--- a/stoneyoke/controlplane/discovery_service.py
+++ b/stoneyoke/controlplane/discovery_service.py
@@ -57,19 +57,21 @@
 
 
 class DiscoveryService:
-    """silent_s: see InstanceRegistry. everyone_beats_s, first_start: see Settlement."""
+    """silent_s: see InstanceRegistry. everyone_beats_s: see Settlement."""
 
-    def __init__(
-        self, surroundings: Surroundings, *, silent_s: float, everyone_beats_s: float, first_start: bool
-    ) -> None:
+    def __init__(self, surroundings: Surroundings, *, silent_s: float, everyone_beats_s: float) -> None:
         self.surroundings, self.clock = surroundings, surroundings.clock
         self.registry = InstanceRegistry(silent_s)
-        self.settlement = Settlement(surroundings.own_address, self.clock(), everyone_beats_s, first_start)
+        self.settlement = Settlement(surroundings.own_address, self.clock(), everyone_beats_s)
         self.swept_at = self.clock()
         self.stale_until = -1e9
         self.told: dict[str, Row] = {}  # what other controllers were told of an instance last
         self.heard: dict[str, None] = {}  # instances whose heartbeats came here since others were told
 
+    def first_start(self) -> None:
+        """To be called once the disk has shown that this is the whole system's first start."""
+        self.settlement.first_start()
+
     # ---- what backends say ----
 
     async def heartbeat(self, beat: Heartbeat) -> Answer:
@@ -169,8 +171,11 @@
 
     def pulled_from(self, address: str, settled: bool, begun_at: float) -> None:
         """To be called after each pull whose rows were heard whole; begun_at: when the request was sent."""
+        before = self.settlement.settled
         self.settlement.voters_are(self.surroundings.voters(), self.clock())
         self.settlement.pulled_from(address, settled, begun_at)
+        if self.settled() != before:
+            self.surroundings.changed()  # gateways that start wait for it
 
     # ---- time ----
 
@@ -181,13 +186,13 @@
             self.sweep()
 
     def sweep(self) -> None:
-        now, seq = self.clock(), self.registry.seq
+        now, before = self.clock(), (self.registry.seq, self.settlement.settled)
         if now - self.swept_at > STOOD_STILL_S:
             self.stale_until = now + STALE_S
         self.swept_at = now
-        self.settled()
+        settled = self.settled()
         self.registry.sweep(now)
-        if self.registry.seq > seq:
+        if (self.registry.seq, settled) != before:
             self.surroundings.changed()
 
     def may_be_stale(self) -> bool:
--- a/tests/system/test_discovery_service.py
+++ b/tests/system/test_discovery_service.py
@@ -42,7 +42,7 @@
     def __init__(self, count, first_start=True):
         self.names = [f"10.0.0.{at}" for at in range(1, count + 1)]
         self.voters, self.in_touch, self.ahead_s = tuple(self.names), True, 0.0
-        self.tasks, self.services, self.links = set(), {}, {}
+        self.tasks, self.services, self.links, self.woken = set(), {}, {}, []
         for name in self.names:
             self.start(name, first_start)
 
@@ -60,13 +60,14 @@
                 lambda: links,
                 lambda: self.in_touch,
                 self.clock,
-                lambda: None,
+                lambda: self.woken.append(name),
                 self.spawn,
             ),
             silent_s=5.0,
             everyone_beats_s=EVERYONE_S,
-            first_start=first_start,
         )
+        if first_start:
+            self.services[name].first_start()
         return self.services[name]
 
     def spawn(self, work):
@@ -205,7 +206,9 @@
         await town.passes(COUNTED_S)
         town.pull("10.0.0.2", "10.0.0.3")
         assert not again.settled() and not again.registry.records
+        town.woken.clear()
         town.pull("10.0.0.2", "10.0.0.1")
+        assert town.woken == ["10.0.0.2", "10.0.0.2"]  # by the row and as it is settled
         assert again.settled() and again.registry.records["i-1"].row.phase == Phase.DRAINING
 
     play(story)
@@ -267,18 +270,20 @@
         assert not one.settled()
         town.ahead_s += EVERYONE_S  # it stood still: it heard nobody meanwhile
         assert not one.settled()
+        town.woken.clear()
         await town.passes(EVERYONE_S + STALE_S + 2 * SWEEP_EVERY_S)
-        assert one.settled()
+        assert one.settled() and "10.0.0.1" in town.woken
 
     play(story, first_start=False)
 
 
 @test("the system's first start is settled at once; who becomes a voter while it runs starts over")
 def _():
-    settlement = Settlement("d", 0.0, EVERYONE_S, True)
+    settlement = Settlement("d", 0.0, EVERYONE_S)
+    settlement.first_start()
     assert settlement.decide((), 0.0) and settlement.decide(("a", "b", "c"), 1.0)
     assert not settlement.decide(("a", "b", "d"), 9.0)
     for name in "ab":
         settlement.pulled_from(name, True, 9.0 + COUNTED_S)
     assert settlement.decide(("a", "b", "d"), 10.0)
-    assert not Settlement("a", 0.0, EVERYONE_S, False).decide((), 99.0)  # who votes is not known
+    assert not Settlement("a", 0.0, EVERYONE_S).decide((), 99.0)  # who votes is not known
