--- a/stoneyoke/lab/simulation/__main__.py
+++ b/stoneyoke/lab/simulation/__main__.py
@@ -5,7 +5,8 @@
 python -m stoneyoke.lab.simulation reduce 32              # the smallest plan found that still breaks, as JSON
 python -m stoneyoke.lab.simulation replay FILE...         # plans kept as files
 python -m stoneyoke.lab.simulation seeded_defects --seeds 0-99   # each with the first scenario that finds it
-python -m stoneyoke.lab.simulation check                  # every order of the smallest exhaustive
+python -m stoneyoke.lab.simulation check                  # every order of messages in the smallest worlds
+python -m stoneyoke.lab.simulation consensus_defects       # each with what the check finds of it
 """
 
 import json
@@ -16,14 +17,15 @@
 
 from absl import app, flags
 
-
-from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS, seeded
+from stoneyoke.lab.simulation import consensus_defects as register_defects
 from stoneyoke.lab.simulation.bounds import START_S
+from stoneyoke.lab.simulation.exhaustive import explore
 from stoneyoke.lab.simulation.judge import Outcome
 from stoneyoke.lab.simulation.plans import read_plan, reduce
 from stoneyoke.lab.simulation.random_plans import make_plan
 from stoneyoke.lab.simulation.runs import count, play, play_many, play_seed
 from stoneyoke.lab.simulation.scenario import Scenario
+from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS, seeded
 
 SEEDS = flags.DEFINE_string("seeds", "0-199", "The first and the last seed, or one.")
 JOBS = flags.DEFINE_integer("jobs", os.cpu_count() or 1, "Scenarios at once.", lower_bound=1)
@@ -112,9 +114,18 @@
 
 
 def check() -> int:
-    from stoneyoke.lab.simulation import exhaustive
+    return explore.report(DEPTH.value, JOBS.value)
+
 
-    return exhaustive.report(DEPTH.value)
+def consensus_defects() -> int:
+    missed = 0
+    with ProcessPoolExecutor(JOBS.value) as pool:
+        for name, how in zip(
+            register_defects.FOUND_IN, pool.map(register_defects.found, register_defects.FOUND_IN), strict=True
+        ):
+            print(f"{name}: {how or 'NOT FOUND'}", flush=True)
+            missed += not how
+    return bool(missed)
 
 
 COMMANDS = {
@@ -124,6 +135,7 @@
     "replay": replay,
     "seeded_defects": seeded_defects,
     "check": check,
+    "consensus_defects": consensus_defects,
 }
 
 
