--- a/stoneyoke/lab/simulation/__main__.py
+++ b/stoneyoke/lab/simulation/__main__.py
@@ -1,7 +1,7 @@
 """Simulations of the whole control plane in simulated time.
 
 python -m stoneyoke.lab.simulation run --seeds 0-399      # scenarios from seeds; exit code 1 if any breaks something
-python -m stoneyoke.lab.simulation show 32                # one scenario, by seed or name: its plan, what happened, what broke
+python -m stoneyoke.lab.simulation show 32   # by seed, or a hard day by name: its plan, what happened, what broke
 python -m stoneyoke.lab.simulation reduce 32              # the smallest plan found that still breaks, as JSON
 python -m stoneyoke.lab.simulation replay FILE...         # plans kept as files
 python -m stoneyoke.lab.simulation seeded_defects --seeds 0-99   # each with the first scenario that finds it
--- a/stoneyoke/lab/simulation/faults.py
+++ b/stoneyoke/lab/simulation/faults.py
@@ -198,6 +198,7 @@
         scenario.outside.cut_off |= known
         await asyncio.sleep(fault.for_s)
         self.network.cuts.subtract(pairs)
+        self.network.reopen()
         for name in known:
             scenario.outside.cut_off.pop(name, None)
 
@@ -216,6 +217,7 @@
         self.network.held.update(fault.who)
         await asyncio.sleep(fault.for_s)
         self.network.held.subtract(fault.who)
+        self.network.reopen()
 
     async def freeze(self, fault: Fault) -> None:
         """Processes stand still wherever they are, while time goes on, and go on from there."""
--- a/stoneyoke/lab/simulation/invariants.py
+++ b/stoneyoke/lab/simulation/invariants.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from stoneyoke.api.configuration import Version
 from stoneyoke.controlplane.consensus import FIRST_DISK, Accepted
 from stoneyoke.controlplane.controller import Controller
 from stoneyoke.controlplane.instance_registry import Phase
@@ -14,11 +13,10 @@
     from stoneyoke.lab.simulation.scenario import Scenario
 
 READY_S = 2.5  # more than contact_s, that a gateway may take to be ready
-NEVER = float("inf")
 
 
 class Invariants:
-    """learnt: what each controller last took for chosen. behind_since: since when it lacks what was acknowledged."""
+    """learnt: what each controller last took for chosen."""
 
     def __init__(self, scenario: "Scenario") -> None:
         self.scenario, self.judge = scenario, scenario.judge
@@ -56,17 +54,17 @@
         calm = now > max(self.judge.controllers_at, self.judge.links_until, machine.started_at) + catch_up_s
         if calm and not self.scenario.busy(name):
             held, needed = controller.replica.version(), self.judge.register.newest_acknowledged(now - catch_up_s)
-            caught_up = held.number >= needed.number
-            self.judge.must(caught_up, now, f"BEHIND: {name} holds {held} and not {needed} after {catch_up_s} s")
+            caught_up = held.number >= needed
+            self.judge.must(caught_up, now, f"BEHIND: {name} holds {held} and not r{needed} after {catch_up_s} s")
 
     def check_gateway(self, gateway: "GatewayMachine", now: float) -> None:
         judge, name, client = self.judge, gateway.name, gateway.client
         assert client
         needed = judge.register.newest_acknowledged(now - BOUNDS["apply_s"])
         held = gateway.version()
-        judge.must(held.number >= needed.number, now, f"CONFIG: {name} has {held} only, {needed} was acknowledged")
+        judge.must(held.number >= needed, now, f"CONFIG: {name} has {held} only, r{needed} was acknowledged")
         # No rule, a duty: controllers that start at once need three seconds, and a gateway hears of it then.
-        expected = judge.register.newest_acknowledged(now - 4).number and judge.in_touch(name, now - READY_S)
+        expected = judge.register.newest_acknowledged(now - 4) and judge.in_touch(name, now - READY_S)
         judge.must(client.lookout.ready or not expected, now, f"{name} is not ready")
         for drained in judge.drained:
             known = client.roster.known.get(drained.instance)
@@ -82,7 +80,7 @@
         newest = judge.register.newest_acknowledged(now)
         for name, controller in up.items():
             held = controller.replica.version()
-            judge.must(held.number >= newest.number, now, f"{name} holds {held}, {newest} is the newest")
+            judge.must(held.number >= newest, now, f"{name} holds {held}, r{newest} is the newest")
         versions = {controller.replica.version() for controller in up.values()}
         versions |= {one.version() for one in scenario.gateways.values() if one.table}
         judge.must(len(versions) <= 1, now, f"versions differ at the end: {sorted(map(str, versions))}")
@@ -94,7 +92,7 @@
             judge.must(ready, now, f"{name} is not ready at the end")
         for name in up:
             told = any([await scenario.operators.read_back(name) or await scenario.operators.read_back(name)])
-            judge.must(told or not newest.number, now, f"LOST: {name} can't read back {newest}")
+            judge.must(told or not newest, now, f"LOST: {name} can't read back r{newest}")
         self.check_removed(up, now)
         judge.register.audit(scenario.now())
         tenants = scenario.tenants
@@ -111,6 +109,3 @@
             if len(up) >= len(voters):
                 self.judge.must(not set(gone) & set(voters), now, f"{gone} still votes")
                 self.scenario.met["voter replaced"] += 1
-
-    def newest(self) -> Version:
-        return self.judge.register.newest_acknowledged(self.scenario.now())
--- a/stoneyoke/lab/simulation/network.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -18,7 +18,6 @@
 Serve = Callable[[Message], Awaitable[Message | None]]
 DELAY_S = 0.0015
 LATE_S = (0.02, 0.2, 0.8, 2.0)  # how late a late message is
-BLOCKED_STEP_S = 0.05
 NO_POWER_STEP_S = 0.5
 
 
@@ -48,6 +47,7 @@
         self.late, self.doubled, self.answers_lost = 0.0, 0.0, 0.0
         self.carried: Counter[str] = Counter()  # messages, by kind
         self.traps: list[Trap] = []
+        self.opened = asyncio.Event()  # set and renewed when a cut or a hold ends
 
     def context(self, machine: str) -> contextvars.Context:
         """Whatever is begun in it belongs to this machine; to the network or the outside if empty."""
@@ -72,6 +72,11 @@
         for task in in_order(self.tasks.get(machine, ())):
             task.cancel()
 
+    def reopen(self) -> None:
+        """What waited at a cut goes on."""
+        self.opened.set()
+        self.opened = asyncio.Event()
+
     def blocked(self, own: str, other: str) -> bool:
         return self.cuts[own, other] > 0 or self.held[own] > 0 or self.held[other] > 0
 
@@ -82,7 +87,7 @@
             wait += self.chance.choice(LATE_S)
         await asyncio.sleep(wait)
         while self.blocked(own, other):
-            await asyncio.sleep(BLOCKED_STEP_S)
+            await self.opened.wait()
 
     def dialler(self, own: str) -> Callable[[tuple[str, int]], Any]:
         return lambda address: SimulatedPeerClient(self, own, address[0])
--- a/stoneyoke/lab/simulation/register_history.py
+++ b/stoneyoke/lab/simulation/register_history.py
@@ -23,13 +23,15 @@
 
 @dataclass
 class RegisterHistory:
-    """must: called with what has to hold. sent: when each version was first ordered, with its text. levels: the
-    numbers that anybody was shown, rising, with their times. shown: versions read back or in force, by number."""
+    """must: called with what has to hold. sent: when each version was first ordered; bodies: its text. levels: the
+    numbers that anybody was shown, rising, with their times; floors: the same of those acknowledged. shown: versions
+    read back or in force, by number."""
 
     must: Must
     sent: dict[Version, float] = field(default_factory=dict)
     bodies: dict[Version, bytes] = field(default_factory=dict)
     levels: list[tuple[float, int]] = field(default_factory=list)
+    floors: list[tuple[float, int]] = field(default_factory=list)
     shown: dict[int, Version] = field(default_factory=dict)
     acknowledged: list[Claim] = field(default_factory=list)
     conflicts: list[Claim] = field(default_factory=list)
@@ -48,8 +50,10 @@
         if number > self.level(now):
             self.levels.append((now, number))
 
-    def newest_acknowledged(self, before: float) -> Version:
-        return max((claim.version for claim in self.acknowledged if claim.at <= before), default=Version())
+    def newest_acknowledged(self, before: float) -> int:
+        """The highest number that was acknowledged until then."""
+        at = bisect.bisect_right(self.floors, (before, 1 << 62))
+        return self.floors[at - 1][1] if at else 0
 
     # ---- what is shown ----
 
@@ -77,6 +81,8 @@
         told = any(claim.version == version for claim in self.conflicts)
         self.must(not told, now, f"CONFIG: {version} was rejected, then acknowledged")
         self.acknowledged.append(Claim(now, version))
+        if version.number > self.newest_acknowledged(now):
+            self.floors.append((now, version.number))
         self.raise_level(now, version.number)
 
     def conflict(self, now: float, version: Version, controller: str, chosen: RegisterValue | None) -> None:
--- a/tests/system/test_hard_days.py
+++ b/tests/system/test_hard_days.py
@@ -62,7 +62,7 @@
 
 
 @test("hard day: {name}")
-def _(name=each(*HARD_DAYS)):
+def _(name=each(*HARD_DAYS)):  # noqa: B008
     outcome = played()[name]
     assert not outcome.broken, str(outcome.broken[:3])
     for what, least in MEETS[name].items():
