--- a/stoneyoke/transport/messages.py
+++ b/stoneyoke/transport/messages.py
@@ -278,6 +278,22 @@
 )
 
 
+# What answers each request; whoever asks takes nothing else. A kind that is not here is a response itself.
+RESPONSES: dict[type, type] = {
+    PullRequest: PullResponse,
+    FetchRequest: FetchResponse,
+    PrepareRequest: PrepareResponse,
+    AcceptRequest: AcceptResponse,
+    QueryRequest: QueryResponse,
+    ChosenNotice: ChosenNoticeResponse,
+    ValueRequest: ValueResponse,
+    InstanceUpdate: InstanceUpdateResponse,
+    InstanceRefresh: InstanceUpdateResponse,
+    LeaseRequest: LeaseResponse,
+    QuotaRequest: QuotaResponse,
+}
+
+
 def pack(number: int, message: Message) -> bytes:
     """A frame: four bytes of length, then the list."""
     kind = type(message)
