--- a/stoneyoke/lab/simulation/seeded_defects.py
+++ b/stoneyoke/lab/simulation/seeded_defects.py
@@ -14,13 +14,15 @@
     instance_registry,
     leases,
     membership,
+    peers,
     replica,
     replication,
 )
 from stoneyoke.controlplane.record_formats import PROMISE
-from stoneyoke.api.calls import Acknowledged
+from stoneyoke.api.calls import Acknowledged, Rejected
 from stoneyoke.api.configuration import Version, read_configuration
 from stoneyoke.limits import shares
+from stoneyoke.storage import record_store
 from stoneyoke.gateway import admission, config_sync, instance_directory
 from stoneyoke.transport.messages import FetchResponse, FetchRequest
 
@@ -114,6 +116,93 @@
     return [(replica.Replica, "accept", accept)]
 
 
+def cut_off_serves() -> list[Patch]:
+    """A controller that hears no majority goes on as if it did."""
+    return [(peers.Peers, "majority_in_touch", lambda self, members, own: True)]
+
+
+def taken_is_refused() -> list[Patch]:
+    """An order whose number is taken is refused, be it the same one sent again."""
+    real = configuration_service.verdict
+
+    def verdict(order: Any, chosen: Any) -> Any:
+        told = real(order, chosen)
+        if chosen.version.number > order.version.number:
+            return Rejected(configuration_service.CONFLICT, "generation", "older than what is in force")
+        return told
+
+    return [(configuration_service, "verdict", verdict)]
+
+
+def confirmed_once_accepted() -> list[Patch]:
+    """An order is confirmed once its own controller has accepted it."""
+    real = replication.Replication.accept_at
+
+    async def accept_at(self: replication.Replication, current: Any, address: str) -> None:
+        await real(self, current, address)
+        if address == self.peers.own and current.phase is consensus.Phase.ACCEPT:
+            current.phase = consensus.Phase.CHOSEN
+
+    return [(replication.Replication, "accept_at", accept_at)]
+
+
+def empty_learner_votes() -> list[Patch]:
+    """A new member votes before it holds what was chosen."""
+
+    def learners(self: membership.Membership, voters: consensus.VoterSet, now: float) -> Any:
+        heard = self.peers.heard().values()
+        return tuple(peer.replica for peer in heard if peer.replica and peer.replica not in voters.members)
+
+    return [(membership.Membership, "learners", learners)]
+
+
+def replaced_singly() -> list[Patch]:
+    """The voters before are forgotten at once: a change needs a majority of the new ones only."""
+    real = consensus.Round.build
+
+    def build(self: consensus.Round, found: consensus.RegisterValue) -> consensus.RegisterValue:
+        return replace(real(self, found), previous=())
+
+    return [(consensus.Round, "build", build)]
+
+
+def never_caught_up() -> list[Patch]:
+    """A controller that missed a value waits for the next one."""
+
+    async def catch_up(self: Any, address: str, chosen: Any) -> None:
+        self.replica.learn_ballot(chosen)
+
+    return [(replication.Replication, "catch_up", catch_up)]
+
+
+def records_kept() -> list[Patch]:
+    """No record is ever removed."""
+    return [(record_store.RecordStore, "tidy", lambda self, *_: None)]
+
+
+def late_answer_counts() -> list[Patch]:
+    """A grant counts for the round of asking that is out, whichever it was given for."""
+    real = leases.LeaseHolder.answer
+
+    def answer(self: leases.LeaseHolder, voter: Any, ok: bool, voters: Any, began: float, now: float) -> None:
+        real(self, voter, ok, voters, self.began, now)
+
+    return [(leases.LeaseHolder, "answer", answer)]
+
+
+def older_news_counts() -> list[Patch]:
+    """What a gateway is told later counts, however old it is."""
+
+    def merge(self: instance_directory.InstanceDirectory, row: Any, now: float) -> None:
+        old = self.known.get(row.instance)
+        if old and row.call_seq < old.row.call_seq:
+            del self.known[row.instance]
+        real(self, row, now)
+
+    real = instance_directory.InstanceDirectory.merge
+    return [(instance_directory.InstanceDirectory, "merge", merge)]
+
+
 def lost_voter_stays() -> list[Patch]:
     """A voter that is gone for good is never replaced."""
     return [(membership, "LOST_PART", 1e9)]
@@ -303,6 +392,15 @@
         highest_digest_wins,
         reads_alone,
         unchosen_in_force,
+        cut_off_serves,
+        taken_is_refused,
+        confirmed_once_accepted,
+        empty_learner_votes,
+        replaced_singly,
+        never_caught_up,
+        records_kept,
+        late_answer_counts,
+        older_news_counts,
         lost_voter_stays,
         half_way_left,
         ack_before_sync,
