--- a/stoneyoke/lab/simulation/network.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -18,7 +18,6 @@
 Serve = Callable[[Message], Awaitable[Message | None]]
 DELAY_S = 0.0015
 LATE_S = (0.02, 0.2, 0.8, 2.0)  # how late a late message is
-BLOCKED_STEP_S = 0.05
 NO_POWER_STEP_S = 0.5
 
 
@@ -43,11 +42,12 @@
         self.chance = chance
         self.ports: dict[str, Serve | None] = {}
         self.tasks: dict[str, set[asyncio.Task[Any]]] = {}  # what runs on a machine; ended with it
-        self.cuts: set[tuple[str, str]] = set()
-        self.held: set[str] = set()
+        self.cuts: Counter[tuple[str, str]] = Counter()  # how many cuts lie on a way
+        self.held: Counter[str] = Counter()
         self.late, self.doubled, self.answers_lost = 0.0, 0.0, 0.0
         self.carried: Counter[str] = Counter()  # messages, by kind
         self.traps: list[Trap] = []
+        self.opened = asyncio.Event()  # set and renewed when a cut or a hold ends
 
     def context(self, machine: str) -> contextvars.Context:
         """Whatever is begun in it belongs to this machine; to the network or the outside if empty."""
@@ -72,8 +72,13 @@
         for task in in_order(self.tasks.get(machine, ())):
             task.cancel()
 
+    def reopen(self) -> None:
+        """What waited at a cut goes on."""
+        self.opened.set()
+        self.opened = asyncio.Event()
+
     def blocked(self, own: str, other: str) -> bool:
-        return (own, other) in self.cuts or own in self.held or other in self.held
+        return self.cuts[own, other] > 0 or self.held[own] > 0 or self.held[other] > 0
 
     async def cross(self, own: str, other: str) -> None:
         """One message's way. One that can't come through waits for as long as its caller does."""
@@ -82,7 +87,7 @@
             wait += self.chance.choice(LATE_S)
         await asyncio.sleep(wait)
         while self.blocked(own, other):
-            await asyncio.sleep(BLOCKED_STEP_S)
+            await self.opened.wait()
 
     def dialler(self, own: str) -> Callable[[tuple[str, int]], Any]:
         return lambda address: SimulatedPeerClient(self, own, address[0])
