--- a/stoneyoke/lab/capacity/hot_paths.py
+++ b/stoneyoke/lab/capacity/hot_paths.py
@@ -362,7 +362,6 @@
         client = PeerClient(("127.0.0.1", server.server.sockets[0].getsockname()[1]))
         await client.call(FetchRequest(), 5.0)
         done = await measured_calls(client)
-        client.end("done")
         server.close()
         return done
 
