--- a/stoneyoke/lab/capacity/hollow_fleet.py
+++ b/stoneyoke/lab/capacity/hollow_fleet.py
@@ -5,18 +5,17 @@
 stands the processor time that it cost the busiest controller, which on one core is the least that it takes."""
 
 import asyncio
-import contextlib
 import random
 import shutil
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from loguru import logger
 
-from stoneyoke.api.calls import Acknowledged, ask
+from stoneyoke.api.calls import Acknowledged, Answer, Rejected, ask
 from stoneyoke.api.configuration import Configuration, Version
 from stoneyoke.controlplane.controller import Controller
 from stoneyoke.controlplane.instance_registry import Phase
@@ -24,9 +23,9 @@
 from stoneyoke.gateway.routes import Table, table_of
 from stoneyoke.lab.capacity.figures import Figure
 from stoneyoke.lab.capacity.meters import rss_mb
-from stoneyoke.lab.capacity.metered_network import OWNER, MeteredLoop, MeteredNetwork, Traffic
+from stoneyoke.lab.capacity.metered_network import MeteredLoop, MeteredNetwork, Traffic
 from stoneyoke.lab.capacity.workloads import BOUNDS, configuration, heartbeat, instance_name
-from stoneyoke.lab.simulation.network import Disk
+from stoneyoke.lab.simulation.disks import Disk
 
 BEAT_S = 1.5
 POLL_S = 0.01
@@ -87,7 +86,7 @@
             clock=loop.time,
             take=self.take,
             told=lambda: None,
-            dial=fleet.network.wires(name),
+            dial=fleet.network.dialler(name),
             chance=random.Random(name),
         )
 
@@ -110,7 +109,7 @@
     def __init__(self, shape: Shape, loop: MeteredLoop, folder: str) -> None:
         self.shape, self.loop, self.folder = shape, loop, Path(folder)
         self.chance = random.Random(11)
-        self.network = MeteredNetwork(self.chance, loop.meter, self.region_of, FAR_S)
+        self.network = MeteredNetwork(self.chance, self.region_of, FAR_S)
         self.seeds = tuple(f"10.0.0.{at + 1}" for at in range(shape.controllers))
         self.controllers: dict[str, Controller] = {}
         self.gateways: dict[str, HollowGateway] = {}
@@ -121,57 +120,48 @@
         """Machines are spread evenly over regions by their number."""
         return int(name.rpartition(".")[2].rpartition("-")[2]) % self.shape.regions
 
-    @contextlib.contextmanager
-    def owned(self, name: str) -> Iterator[None]:
-        """Tasks begun within are charged to this machine."""
-        token = OWNER.set(name)
-        try:
-            yield
-        finally:
-            OWNER.reset(token)
-
     # ---- parts ----
 
     async def start_controllers(self) -> None:
         for name in self.seeds:
-            with self.owned(name):
-                disk = Disk(str(self.folder / name), self.chance)
-                controller = Controller(
-                    name,
-                    name,
-                    1,
-                    "zone",
-                    disk.mount(),
-                    self.seeds,
-                    first_start=True,
-                    silent_s=2.4 * BEAT_S + 0.5,
-                    bounds=BOUNDS,
-                    losses=(self.shape.controllers - 1) // 2,
-                    clock=self.loop.time,
-                    dial=self.network.wires(name),
-                    chance=random.Random(name),
-                )
-                controller.blocking = disk.blocking  # type: ignore[method-assign, assignment]
-                await controller.start()
-            self.controllers[name] = controller
-            self.network.ports[name] = controller.answer
+            await self.network.run_on(name, self.start_controller(name))
+
+    async def start_controller(self, name: str) -> None:
+        disk = Disk(str(self.folder / name), self.chance)
+        controller = Controller(
+            name,
+            name,
+            1,
+            "zone",
+            disk.mount(),
+            self.seeds,
+            first_start=True,
+            silent_s=2.4 * BEAT_S + 0.5,
+            bounds=BOUNDS,
+            losses=(self.shape.controllers - 1) // 2,
+            clock=self.loop.time,
+            dial=self.network.dialler(name),
+            chance=random.Random(name),
+        )
+        controller.blocking = disk.blocking  # type: ignore[method-assign, assignment]
+        await controller.start()
+        self.controllers[name] = controller
+        self.network.ports[name] = controller.answer
 
     def start_gateway(self, at: int) -> None:
         name = f"gateway-{at:04d}"
-        with self.owned(name):
-            gateway = self.gateways[name] = HollowGateway(self, name)
-            self.network.aboard(name, gateway.run())
+        gateway = self.gateways[name] = HollowGateway(self, name)
+        self.network.run_on(name, gateway.run())
 
     async def call(self, name: str, method: str, target: str, body: bytes) -> bool:
         """As a backend or the operator, at one controller; charged to that."""
 
-        async def meet() -> bool:
+        async def meet() -> Answer:
             asked = ask(method, target, body)
-            return await self.controllers[name].call(asked) == Acknowledged()  # type: ignore[arg-type]
+            return asked if isinstance(asked, Rejected) else await self.controllers[name].call(asked)
 
-        with self.owned(name):
-            done: bool = await self.network.aboard(name, meet())
-        return done
+        said: Answer = await self.network.run_on(name, meet())
+        return said == Acknowledged()
 
     async def put(self) -> float:
         """One change of configuration; how long until it was acknowledged."""
@@ -223,7 +213,7 @@
     async def cost(self, work: Callable[[], Any], tail_s: float = 0.0) -> Cost:
         """Of this work and of what it sets off within tail_s."""
         traffic = self.network.traffic = Traffic()
-        spent, begun = self.loop.meter.spent, self.loop.time()
+        spent, begun = self.loop.spent, self.loop.time()
         spent.clear()
         await work()
         had_s = self.loop.time() - begun
@@ -247,11 +237,11 @@
         await self.start_controllers()
         await asyncio.sleep(0.5)
         await self.put()
-        self.network.aboard("", self.beat_often())
+        self.network.run_on("", self.beat_often())
         await asyncio.sleep(BEAT_S)
         await self.beat(0)
         first = await self.cost(self.first_load, shape.settle_s)
-        self.network.aboard("", self.change_often())
+        self.network.run_on("", self.change_often())
         steady = await self.cost(lambda: asyncio.sleep(shape.window_s))
         figures = [*self.event_figures("all gateways start", first, None), *self.steady_figures(steady)]
         figures.append(Figure("all in one process: memory", "MB", rss_mb() - before))
--- a/stoneyoke/lab/capacity/metered_network.py
+++ b/stoneyoke/lab/capacity/metered_network.py
@@ -1,10 +1,9 @@
 """The simulated network and loop with meters: whose processor time each step was, and what bytes each message had.
 
-Every machine's steps run in a context that names it; what carries messages runs under a name of its own, so that the
+The simulation names the machine that each step belongs to; what carries messages belongs to none, so that the
 simulation's own cost is not the system's."""
 
 import asyncio
-import contextvars
 import random
 import time
 from collections import defaultdict
@@ -12,60 +11,35 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from stoneyoke.lab.simulation.clock import SimulatedLoop
-from stoneyoke.lab.simulation.network import Meet, SimulatedNetwork
-from stoneyoke.transport.messages import pack, unpack
-
-CARRIER = "carrier"
-OWNER: contextvars.ContextVar[str] = contextvars.ContextVar("owner", default=CARRIER)
-
-
-@dataclass
-class ProcessorMeter:
-    """Processor seconds by machine. One step runs at a time."""
-
-    spent: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
-    since: float = 0.0
-
-    def begin(self) -> None:
-        self.since = time.process_time()
-
-    def end(self, owner: str) -> None:
-        now = time.process_time()
-        self.spent[owner] += now - self.since
-        self.since = now
-
-    def turn_to(self, owner: str) -> None:
-        """The rest of this step is another machine's."""
-        self.end(OWNER.get())
-        OWNER.set(owner)
+from stoneyoke.lab.simulation.clock import MACHINE, SimulatedLoop
+from stoneyoke.lab.simulation.network import SimulatedNetwork
 
 
 class MeteredLoop(SimulatedLoop):
-    """Charges each callback to the machine in whose context it runs."""
+    """spent: processor seconds by machine; each callback is charged to the one in whose context it runs."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.meter = ProcessorMeter()
+        self.spent: defaultdict[str, float] = defaultdict(float)
 
     def metered(self, callback: Callable[..., Any]) -> Callable[..., Any]:
-        meter = self.meter
+        spent = self.spent
 
         def step(*args: Any) -> None:
-            meter.begin()
+            begun = time.process_time()
             try:
                 callback(*args)
             finally:
-                meter.end(OWNER.get())
+                spent[MACHINE.get()] += time.process_time() - begun
 
         return step
 
-    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> Any:  # type: ignore[override]
-        return super().call_soon(self.metered(callback), *args, context=context)
+    def _call_soon(self, callback: Any, args: Any, context: Any) -> asyncio.Handle:
+        return super()._call_soon(self.metered(callback), args, context)
 
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Any = None
-    ) -> Any:
+    ) -> asyncio.TimerHandle:
         return super().call_at(when, self.metered(callback), *args, context=context)
 
 
@@ -89,11 +63,9 @@
 class MeteredNetwork(SimulatedNetwork):
     """region_of: machines' regions; far_s: one way between two of them."""
 
-    def __init__(
-        self, chance: random.Random, meter: ProcessorMeter, region_of: Callable[[str], int], far_s: float
-    ) -> None:
+    def __init__(self, chance: random.Random, region_of: Callable[[str], int], far_s: float) -> None:
         super().__init__(chance)
-        self.meter, self.region_of, self.far_s = meter, region_of, far_s
+        self.region_of, self.far_s = region_of, far_s
         self.traffic = Traffic()
 
     def far(self, own: str, other: str) -> bool:
@@ -104,19 +76,10 @@
         if self.far(own, other):
             await asyncio.sleep(self.far_s)
 
-    async def deliver(self, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
-        self.meter.turn_to(CARRIER)
+    async def deliver(self, own: str, other: str, kind: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
         self.traffic.carried(own, other, len(data), self.far(own, other))
-        await super().deliver(own, other, data, answer)
-
-    async def met(self, meet: Meet, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
-        self.meter.turn_to(other)
-        said = await meet(unpack(data[4:])[1])
-        if said is None:
-            return
-        back = pack(1, said)
-        self.meter.turn_to(CARRIER)
-        self.traffic.carried(other, own, len(back), self.far(own, other))
-        await self.cross(other, own)
-        if not answer.done():
-            answer.set_result(back)
+        await super().deliver(own, other, kind, data, answer)
+
+    async def bring_back(self, own: str, other: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
+        self.traffic.carried(other, own, len(data), self.far(own, other))
+        await super().bring_back(own, other, data, answer)
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -1,5 +1,6 @@
 import json
 import math
+from random import Random
 
 from ward import test
 
@@ -19,11 +20,12 @@
     socket_call,
     upstreams,
 )
-from stoneyoke.lab.capacity.metered_network import OWNER, MeteredLoop
+from stoneyoke.lab.capacity.metered_network import MeteredLoop, MeteredNetwork
 from stoneyoke.lab.capacity.report import document, row_of, shown, table
 from stoneyoke.lab.capacity.runner import measure
 from stoneyoke.lab.capacity.subjects import SUBJECTS, WORK
 from stoneyoke.lab.capacity.workloads import configuration
+from stoneyoke.transport.messages import FetchRequest
 
 SIZES = (100, 300, 1000, 3000, 10_000)
 meters.SHORTEST_S = 0.004  # that a figure is there is tested, not how sharp it is
@@ -147,20 +149,25 @@
     assert 3 < held[400] / held[100] < 5
 
 
-@test("processor time is charged to the machine whose step it was")
+@test("processor time is charged to the machine whose step it was, what carries messages to none")
 def _():
-    loop = MeteredLoop()
+    loop, network = MeteredLoop(), MeteredNetwork(Random(1), lambda name: 0, 0.0)
 
-    async def work(name, rounds):
-        OWNER.set(name)
+    async def work(rounds):
         sum(range(rounds))
-        loop.meter.turn_to("other")
-        sum(range(3 * rounds))
 
-    loop.run_until_complete(work("own", 300_000))
+    async def serve(message):
+        sum(range(900_000))
+        return message
+
+    async def both():
+        network.ports["b"] = serve
+        network.run_on("a", work(300_000))
+        await network.run_on("a", network.dialler("a")(("b", 1)).call(FetchRequest(), 1.0))
+
+    loop.run_until_complete(both())
     loop.close()
-    spent = loop.meter.spent
-    assert 1.5 < spent["other"] / spent["own"] < 6
+    assert 1.5 < loop.spent["b"] / loop.spent["a"] < 6 and loop.spent[""] < 0.2 * loop.spent["a"]
 
 
 @test("a small fleet: all start, hold what was put, hear of a change, a drain and a newcomer; bytes add up")
