--- a/stoneyoke/controlplane/replica.py
+++ b/stoneyoke/controlplane/replica.py
@@ -38,7 +38,7 @@
 )
 from stoneyoke.storage.record_store import StorageError
 
-START_RETRY_S = 0.5  # a new disk that refuses is tried again
+START_RETRY_S = 0.5  # a disk that refuses at the start is tried again
 WAITING_MOST = 64  # writes that wait for a disk that hangs; more are refused at once
 
 Blocking = Callable[..., Awaitable[Any]]  # runs a function that may wait for the disk
@@ -81,31 +81,31 @@
                 accepted = initial_value(seeds)
             # The identity goes last: a start that ends before it is a start on an empty disk again.
             if accepted:
-                await self.keep_at_last(REGISTER, register_record(accepted))
-            await self.keep_at_last(IDENTITY, identity_record(identity))
+                await self.at_last(self.store.keep, REGISTER, register_record(accepted))
+            await self.at_last(self.store.keep, IDENTITY, identity_record(identity))
         self.identity = ReplicaId(self.address, identity)
         self.acceptor = Acceptor(promised or NO_BALLOT, accepted)
 
-    async def keep_at_last(self, family: str, record: Record) -> None:
-        """Written when this returns: without it this disk has no name, and nothing may rest on it."""
+    async def at_last(self, work: Callable[..., Any], *args: Any) -> Any:
+        """What the disk answers once it does: before that nothing may rest on it, and ending the process helps nobody."""
         while True:
             try:
-                await self.blocking(self.store.keep, family, record)
-                return
+                return await self.blocking(work, *args)
             except StorageError as bad:
                 logger.error("disk: {}", bad)
                 await asyncio.sleep(START_RETRY_S)
 
     async def load_record(self, family: str, read: Callable[[Record], Any]) -> Any:
-        record, wrong = await self.blocking(self.store.load, family)
+        """A family's newest record, tried until the disk can tell. Raises BadRecord."""
+        record, wrong = await self.at_last(self.store.load, family)
         for what in wrong:
             logger.warning("disk: {}", what)
         return read(record) if record else None
 
     async def load_old(self) -> Accepted | None:
         """The records of the release before, if these are all that there is."""
-        voters, _ = await self.blocking(self.store.load, OLD_VOTERS)
-        configuration, _ = await self.blocking(self.store.load, OLD_CONFIGURATION)
+        voters, _ = await self.at_last(self.store.load, OLD_VOTERS)
+        configuration, _ = await self.at_last(self.store.load, OLD_CONFIGURATION)
         try:
             held = read_configuration(configuration[b"body"]).version if configuration else Version()
             return read_old_records(voters, configuration, held)
