--- a/stoneyoke/controlplane/replication.py
+++ b/stoneyoke/controlplane/replication.py
@@ -211,6 +211,8 @@
             if own and own.ballot == chosen.ballot:
                 return own
         for voter, accepted in current.replies.items():
+            if voter == self.replica.identity and accepted and accepted.ballot == chosen.ballot:
+                return accepted  # held when it was asked, with its text; a newer one has been accepted since
             if (
                 accepted
                 and accepted.ballot == chosen.ballot
