--- a/stoneyoke/lab/simulation/faults.py
+++ b/stoneyoke/lab/simulation/faults.py
@@ -90,6 +90,11 @@
             else:
                 self.judge.disturb_gateway(name, now + for_s)
 
+    def excuse(self, fault: Fault) -> None:
+        """They can't answer in time, whether they are cut off or not."""
+        for name in fault.who:
+            self.scenario.outside.excused[name] = self.scenario.now() + fault.for_s
+
     # ---- ends of processes ----
 
     async def down(self, fault: Fault, power: bool | None = None, wiped: tuple[str, ...] = ()) -> None:
@@ -218,6 +223,7 @@
     async def hold(self, fault: Fault) -> None:
         self.disturb(fault.who, fault.for_s)
         self.network.held.update(fault.who)
+        self.excuse(fault)
         await asyncio.sleep(fault.for_s)
         self.network.held.subtract(fault.who)
         self.network.reopen()
@@ -228,6 +234,7 @@
         up = [name for name in fault.who if self.machine(name).up() and not self.scenario.frozen(name)]
         self.disturb(tuple(up), fault.for_s)
         lives = [self.machine(name).lives for name in up]
+        self.excuse(fault)
         for name in up:
             loop.freeze(name)
         await asyncio.sleep(fault.for_s)
@@ -239,6 +246,7 @@
         disk = self.scenario.controllers[fault.who[0]].disk
         self.disturb(fault.who, fault.for_s)
         disk.trouble(fault.how)
+        self.excuse(fault)
         await asyncio.sleep(fault.for_s)
         disk.trouble("")
 
@@ -248,6 +256,7 @@
         for name in self.scenario.gateways:
             self.judge.disturb_gateway(name, now + fault.for_s)
         self.network.late, self.network.doubled = fault.share, fault.doubled
+        self.excuse(replace(fault, who=tuple(self.scenario.controllers)))
         await asyncio.sleep(fault.for_s)
         self.network.late = self.network.doubled = 0.0
 
--- a/stoneyoke/lab/simulation/outside.py
+++ b/stoneyoke/lab/simulation/outside.py
@@ -15,11 +15,13 @@
 
 
 class Outside:
-    """Whoever calls from outside. cut_off: controllers that hear no majority, since when."""
+    """Whoever calls from outside. cut_off: controllers that hear no majority, since when. excused: those that were
+    not able to answer for other reasons, until when."""
 
     def __init__(self, scenario: "Scenario") -> None:
         self.scenario = scenario
         self.cut_off: dict[str, float] = {}
+        self.excused: dict[str, float] = {}
 
     def choices(self) -> list[str]:
         """Controllers that callers know of, in an order by chance: one after the other is asked."""
@@ -58,6 +60,8 @@
             said = await asyncio.shield(network.run_on(machine.name, controller.call(asked)))
         await asyncio.sleep(WAY_S)
         lost = network.answers_lost and chance.random() < network.answers_lost
+        if lost:
+            self.excused[machine.name] = self.scenario.now()
         if not answer.done() and not lost and not network.held[machine.name]:
             answer.set_result(said)
 
@@ -65,6 +69,8 @@
         """One that is cut off refuses, at once, and not as its caller's fault."""
         scenario, since = self.scenario, self.cut_off.get(machine.name, 1e18)
         known_at = max(since, machine.started_at) + CUT_KNOWN_S
+        if asked_at <= self.excused.get(machine.name, 0.0):
+            return
         if machine.controller is None or asked_at < known_at or scenario.busy(machine.name):
             return
         now, judge = scenario.now(), scenario.judge
