--- a/stoneyoke/controlplane/membership.py
+++ b/stoneyoke/controlplane/membership.py
@@ -3,14 +3,13 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 from loguru import logger
 
-from stoneyoke.controlplane.consensus import RegisterValue, ReplicaId, VoterSet
+from stoneyoke.controlplane.consensus import ReplicaId, VoterSet
 from stoneyoke.controlplane.peers import NEVER, Peers
 from stoneyoke.controlplane.replication import Replication, unchanged
-from stoneyoke.controlplane.voter_set import LOST_PART, STEADY_S, MemberReport, next_members
+from stoneyoke.controlplane.voter_set import LOST_PART, STEADY_S, MemberReport, change_of_voters, next_members
 
 LOOK_S = 0.25
 CHANGE_S = 2.0  # one change of voters may take so long
@@ -69,19 +68,10 @@
         """Proposes the next voters, or takes the mark of a change that is chosen off."""
         chosen = self.replica.chosen
         assert chosen
-        wanted = self.wanted(chosen.value.voters)
-        if wanted == chosen.value.voters.members and not chosen.value.previous:
+        change = change_of_voters(chosen.value, self.wanted(chosen.value.voters))
+        if change is None:
             return
-        if wanted != chosen.value.voters.members and chosen.value.previous:
-            wanted = chosen.value.voters.members  # the change before goes first
-
-        def with_members(found: RegisterValue) -> RegisterValue:
-            """Only on top of the voters that the wish was made for."""
-            if found.voters != chosen.value.voters or wanted == found.voters.members:
-                return found
-            return replace(found, voters=VoterSet(found.voters.number + 1, wanted))
-
-        decided = await self.replication.propose(with_members, CHANGE_S)
+        decided = await self.replication.propose(change, CHANGE_S)
         if decided and decided.value.voters != chosen.value.voters:
             logger.info("voters {}: {}", decided.value.voters.number, decided.value.voters.addresses())
             await self.replication.propose(unchanged, CHANGE_S)
--- a/stoneyoke/controlplane/voter_set.py
+++ b/stoneyoke/controlplane/voter_set.py
@@ -1,9 +1,9 @@
 """Which change of voters to propose. No I/O: the change itself is decided in the register (consensus)."""
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from stoneyoke.controlplane.consensus import ReplicaId
+from stoneyoke.controlplane.consensus import Change, RegisterValue, ReplicaId, VoterSet
 
 # A voter that is silent for this part of catch_up_s is replaced if a learner stands ready. A lost machine counts as
 # lost until catch_up_s after its successor's start: the other half is left for the successor's start and the rounds.
@@ -54,3 +54,20 @@
 def is_gone(member: ReplicaId, report: MemberReport, ready: list[ReplicaId], lost_s: float) -> bool:
     superseded = any(learner.address == member.address for learner in ready)
     return superseded or member in report.leaving or report.silent_s.get(member, 0.0) > lost_s
+
+
+def change_of_voters(chosen: RegisterValue, wanted: tuple[ReplicaId, ...]) -> Change | None:
+    """What a round makes of the value found so that these vote; None: there is nothing to do.
+
+    chosen: the value that the wish was made for. A change that is not known to be chosen goes first."""
+    if wanted == chosen.voters.members and not chosen.previous:
+        return None
+    members = chosen.voters.members if chosen.previous else wanted
+
+    def with_members(found: RegisterValue) -> RegisterValue:
+        """Only on top of the voters that the wish was made for."""
+        if found.voters != chosen.voters or members == found.voters.members:
+            return found
+        return replace(found, voters=VoterSet(found.voters.number + 1, members))
+
+    return with_members
