--- a/stoneyoke/lab/simulation/consensus_defects.py
+++ b/stoneyoke/lab/simulation/consensus_defects.py
@@ -10,7 +10,7 @@
 from stoneyoke.controlplane import configuration_service, consensus, replica, voter_set
 from stoneyoke.controlplane.consensus import Accepted, Acceptor, Ballot, Query, RegisterValue, ReplicaId, Round
 from stoneyoke.controlplane.quorum import majority
-from stoneyoke.lab.simulation.exhaustive import explore, operations, state, steps
+from stoneyoke.lab.simulation.exhaustive import explore, failures, operations, reads, state
 
 MOST = 20_000  # states in which a defect has to be found
 
@@ -91,16 +91,16 @@
 
 def lost_disk_same_member() -> list[Patch]:
     """A machine that comes back with an empty disk counts as the same member."""
-    real = steps.restart
+    real = failures.restart
 
     def restart(world: Any, before: state.State, process: state.Process, disk: str) -> state.State:
         after = real(world, before, process, disk)
         if not disk:
             return after
-        empty = steps.process_at(after, process.replica.address)
-        return steps.with_process(after, empty._replace(replica=process.replica))
+        empty = state.process_at(after, process.replica.address)
+        return state.with_process(after, empty._replace(replica=process.replica))
 
-    return [(steps, "restart", restart)]
+    return [(failures, "restart", restart)]
 
 
 def equal_numbers_overwritten() -> list[Patch]:
@@ -173,7 +173,7 @@
     def newest_view(views: Mapping[ReplicaId, Accepted]) -> Accepted | None:
         return max(views.values(), key=lambda view: view.ballot, default=None)
 
-    return [(steps, "newest_view", newest_view)]
+    return [(reads, "newest_view", newest_view)]
 
 
 def views_of_new_voters() -> list[Patch]:
@@ -183,7 +183,7 @@
         newest = max(views.values(), key=lambda view: view.ballot)
         return newest if consensus.has_copies(newest.value.voters.members, views) else None
 
-    return [(steps, "newest_view", newest_view)]
+    return [(reads, "newest_view", newest_view)]
 
 
 def ballot_used_twice() -> list[Patch]:
--- /dev/null
+++ b/stoneyoke/lab/simulation/exhaustive/failures.py
@@ -0,0 +1,29 @@
+"""Processes that end and come back, with their disk or with an empty one."""
+
+from collections.abc import Iterator
+
+from stoneyoke.lab.simulation.exhaustive.state import Process, State, Step, with_process
+from stoneyoke.lab.simulation.exhaustive.worlds import World
+
+
+def failures(world: World, state: State) -> Iterator[Step]:
+    for process in state.processes:
+        address = process.replica.address
+        if world.fallible is not None and address not in world.fallible:
+            continue
+        if state.crashes:
+            yield f"{address} restarts", restart(world, state._replace(crashes=state.crashes - 1), process, "")
+        if state.losses:
+            disk = f"{process.replica.disk}+"
+            yield f"{address} loses its disk", restart(world, state._replace(losses=state.losses - 1), process, disk)
+
+
+def restart(world: World, state: State, process: Process, disk: str) -> State:
+    """The process ends and comes back. disk: of the new, empty one; "": it has the old one."""
+    address = process.replica.address
+    after = process._replace(life=process.life + 1, chosen=None, counter=0)
+    if disk:
+        after = Process(process.replica._replace(disk=disk), life=process.life + 1)
+    running = tuple(one for one in state.running if world.operations[one.operation].at != address)
+    own = {one for one in state.requests if one.to == address and one.sender == process.proposer()}
+    return with_process(state, after)._replace(running=running, requests=state.requests - own)
--- a/stoneyoke/lab/simulation/exhaustive/state.py
+++ b/stoneyoke/lab/simulation/exhaustive/state.py
@@ -158,6 +158,9 @@
     broken: str = ""
 
 
+Step = tuple[str, State]  # what happens, and the state after it
+
+
 # ---- the real objects ----
 
 
@@ -247,3 +250,30 @@
 
 def voters_text(voters: VoterSet) -> str:
     return f"{voters.number}:" + ",".join(f"{one.address}/{one.disk}" for one in voters.members)
+
+
+# ---- records in a state ----
+
+
+def process_at(state: State, address: str) -> Process:
+    return next(one for one in state.processes if one.replica.address == address)
+
+
+def with_process(state: State, process: Process) -> State:
+    address = process.replica.address
+    return state._replace(
+        processes=tuple(process if one.replica.address == address else one for one in state.processes)
+    )
+
+
+def with_running(state: State, before: Running | None, after: Running | None) -> State:
+    """One operation's record replaced, added or taken out."""
+    kept = [one for one in state.running if one is not before]
+    return state._replace(running=tuple(sorted((*kept, *((after,) if after else ())), key=lambda one: one.operation)))
+
+
+def round_of(state: State, ballot: Ballot) -> tuple[Running, FrozenRound] | None:
+    for one in state.running:
+        if one.round and one.round.ballot == ballot:
+            return one, one.round
+    return None
--- a/tests/system/test_exhaustive.py
+++ b/tests/system/test_exhaustive.py
@@ -17,7 +17,7 @@
     "a voter removed, an order",
     "two contents under one number, requests doubled",
     "a gateway and an order, a disk lost",
-    "a stale controller after two changes, an order there",
+    "a controller restarts between two orders",
 )
 
 
@@ -32,6 +32,12 @@
     assert results[3].configurations == 2
 
 
+@test("a controller that has missed two changes of voters finds the newest ones")
+def _():
+    result = explore(world_named("a stale controller after two changes, an order there"), depth=10)
+    assert not result.broken and result.changes == 2 and result.configurations == 1, result.text()
+
+
 @test("every world begins, and its first steps break nothing")
 def _():
     for world in WORLDS:
