--- a/stoneyoke/lab/capacity/runner.py
+++ b/stoneyoke/lab/capacity/runner.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
-from functools import partial
+from concurrent.futures.process import BrokenProcessPool
 
 from loguru import logger
 
@@ -35,6 +35,12 @@
 
 
 def measure_all(cases: Iterable[Case], jobs: int, memory_gb: float) -> Iterator[Measurement]:
-    """In the order of the cases. memory_gb: of all processes together."""
+    """In the order of the cases. memory_gb: of all processes together. A process that is ended costs those cases that
+    are not measured yet, never those that are."""
     with ProcessPoolExecutor(jobs, multiprocessing.get_context("spawn"), max_tasks_per_child=1) as pool:
-        yield from pool.map(partial(measure, memory_gb=memory_gb / jobs), cases)
+        begun = [(case, pool.submit(measure, case, memory_gb / jobs)) for case in cases]
+        for case, measured in begun:
+            try:
+                yield measured.result()
+            except BrokenProcessPool:
+                yield Measurement(case, (), 0.0, 0.0, "a measuring process was ended")
--- a/tests/system/test_capacity.py
+++ b/tests/system/test_capacity.py
@@ -22,7 +22,7 @@
 )
 from stoneyoke.lab.capacity.metered_network import MeteredLoop, MeteredNetwork
 from stoneyoke.lab.capacity.report import document, row_of, shown, table
-from stoneyoke.lab.capacity.runner import measure
+from stoneyoke.lab.capacity.runner import measure, measure_all
 from stoneyoke.lab.capacity.subjects import SUBJECTS, WORK
 from stoneyoke.lab.capacity.workloads import configuration
 from stoneyoke.transport.messages import FetchRequest
@@ -105,6 +105,14 @@
     assert measure(Case("configuration by routes", Axis.ROUTES, 20)).failed == ""
 
 
+@test("cases are measured in processes of their own, in their order, within the bound on memory")
+def _():
+    cases = [Case("configuration by routes", Axis.ROUTES, size) for size in (20, 40)]
+    measured = list(measure_all(cases, 2, 0.04))
+    assert [one.case for one in measured] == cases
+    assert [one.failed for one in measured] == ["more than 0.02 GB"] * 2
+
+
 @test("every subject has its work, four sizes or more, and small ones for a quick look")
 def _():
     for one in SUBJECTS:
