Laboratory: small modules, no circle of imports, the field's names

Cause: run.py had 616 lines, standins.py 553 and ledger.py 450; keeper, links, part and standins imported one another.

Change, without one of behaviour: run.py is the run's own story (217 lines); machine_limits, gateway_files, worker_terms, worker_process, fault_orders and result are apart from it. Each stand-in has its module, and so have the clients. The ledger is an index of rows, the five rules and the figures.

--- a/stoneyoke/lab/cli.py
+++ b/stoneyoke/lab/cli.py
@@ -12,6 +12,7 @@
 
 
 def fail(text: str) -> None:
+    """Ends with the exit code of what can't be used, and one line that says why."""
     click.echo(f"stoneyoke: {text}", err=True)
     sys.exit(2)
 
@@ -60,7 +61,8 @@
 ) -> None:
     """Runs a scenario: FILE, or the name of one that comes with the lab."""
     from stoneyoke.lab import plan, report
-    from stoneyoke.lab.run import CantRun, carry_out
+    from stoneyoke.lab.machine_limits import CantRun
+    from stoneyoke.lab.run import carry_out
 
     scenario = find(file)
     seed = scenario.seed if seed is None else seed
@@ -101,7 +103,7 @@
 def report(folder: Path) -> None:
     """Judges a run again, from its ledger, and writes its page."""
     from stoneyoke.lab import report as pages
-    from stoneyoke.lab.run import judge, speeds_of
+    from stoneyoke.lab.result import judge, speeds_of
 
     try:
         scenario, drawn, old = pages.load(folder)
--- a/stoneyoke/lab/cluster.py
+++ b/stoneyoke/lab/cluster.py
@@ -23,6 +23,7 @@
 
 SECONDS = flags.DEFINE_float("seconds", 0.0, "Length of a trial; 0: up until Ctrl-C, without traffic or faults.")
 GATEWAYS = flags.DEFINE_integer("gateways", 2, "Gateways.", lower_bound=1)
+flags.DEFINE_alias("pilots", "gateways")  # the name until December 2026
 RATE = flags.DEFINE_float("rate", 40.0, "Requests a second in a trial.", lower_bound=0.1, upper_bound=500)
 SEED = flags.DEFINE_integer("seed", 1, "Of the trial's chance.")
 PORT = 7340
@@ -100,9 +101,9 @@
 class Backend:
     """A stand-in: beats, works for a while, stamps. Each answer names the request's id."""
 
-    def __init__(self, service: str, number: int, ledger: Ledger, controllers: list[tuple[str, int]]) -> None:
-        self.service, self.ledger, self.controllers = service, ledger, controllers
-        self.instance, self.ip, self.seq = f"i-{service}-{number}", f"127.0.3.{number}", 0
+    def __init__(self, service: str, number: int, ledger: Ledger, cluster: "Cluster") -> None:
+        self.service, self.ledger, self.controllers = service, ledger, cluster.control()
+        self.instance, self.ip, self.seq = f"i-{service}-{number}", f"127.{cluster.block}.3.{number}", 0
 
     async def run(self) -> None:
         self.server = await asyncio.start_server(self.serve, self.ip, 8080)
@@ -146,10 +147,10 @@
 class Cluster:
     """Processes by name, each with a settings file and, for controllers, a folder."""
 
-    def __init__(self, folder: Path, gateways: int) -> None:
-        self.folder = folder
-        self.controllers = {f"core-{at}": f"127.0.1.{at}" for at in (1, 2, 3)}
-        self.gateways = {f"edge-{at}": f"127.0.2.{at}" for at in range(1, gateways + 1)}
+    def __init__(self, folder: Path, gateways: int, block: int = 0) -> None:
+        self.folder, self.block = folder, block
+        self.controllers = {f"core-{at}": f"127.{block}.1.{at}" for at in (1, 2, 3)}
+        self.gateways = {f"edge-{at}": f"127.{block}.2.{at}" for at in range(1, gateways + 1)}
         self.running: dict[str, asyncio.subprocess.Process] = {}
         self.started: set[str] = set()
 
@@ -248,20 +249,24 @@
 
 
 async def bring_up(cluster: Cluster, ledger: Ledger) -> list[asyncio.Task[None]]:
+    """Starts backends, controllers and gateways, and puts the first configuration."""
     for name in (*cluster.controllers, *cluster.gateways):
         await cluster.start(name)
-    stand_ins = [Backend(SERVICES[at % 2], at + 1, ledger, cluster.control()) for at in range(4)]
+    stand_ins = [Backend(SERVICES[at % 2], at + 1, ledger, cluster) for at in range(4)]
     tasks = [asyncio.create_task(one.run()) for one in stand_ins]
     await cluster.put(1)
     await asyncio.gather(*(cluster.ready(name) for name in cluster.gateways))
     return tasks
 
 
-async def trial(seconds: float, gateways: int, rate: float, seed: int) -> tuple[Ledger, Client]:
-    """Traffic; then a new configuration; a core killed; a gateway killed; each comes back."""
+async def trial(seconds: float, gateways: int, rate: float, seed: int, block: int = 0) -> tuple[Ledger, Client]:
+    """Traffic; then a new configuration; a core killed; a gateway killed; each comes back.
+
+    block: the second part of all addresses, so that trials beside each other don't meet.
+    """
     ledger, chance = Ledger(), random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
-        cluster = Cluster(Path(folder), gateways)
+        cluster = Cluster(Path(folder), gateways, block)
         client = Client(cluster, ledger, chance)
         tasks: list[asyncio.Task[None]] = []
         try:
@@ -286,6 +291,7 @@
 
 
 async def stay(gateways: int) -> None:
+    """Runs the whole system until Ctrl-C."""
     with tempfile.TemporaryDirectory() as folder:
         cluster = Cluster(Path(folder), gateways)
         try:
@@ -302,6 +308,7 @@
 
 
 def run(_: list[str]) -> None:
+    """What absl calls with the command line's words."""
     if not SECONDS.value:
         with contextlib.suppress(KeyboardInterrupt):
             asyncio.run(stay(GATEWAYS.value))
@@ -318,6 +325,7 @@
 
 
 def main() -> None:
+    """The entry point of `python -m stoneyoke.lab.cluster`."""
     app.run(run)
 
 
--- /dev/null
+++ b/stoneyoke/lab/fault_orders.py
@@ -0,0 +1,82 @@
+"""Faults as orders to the processes that carry them out."""
+
+import time
+from typing import Any, Protocol
+
+import msgspec
+
+from stoneyoke.lab.places import Places
+from stoneyoke.lab.plan import Strike
+from stoneyoke.lab.scenario import targets
+from stoneyoke.lab.worker_process import WorkerProcess
+
+
+class Gateways(Protocol):
+    """Who starts and configures gateways."""
+
+    def start_gateway(self, g: int, life: int = 0) -> None:
+        """A life of gateway g."""
+
+    def configure(self, g: int, life: int = 0) -> Any:
+        """Writes its files anew."""
+
+
+class FaultOrders:
+    """Tells each process what a strike of the plan means for it."""
+
+    def __init__(self, places: Places, workers: dict[str, WorkerProcess], gateways: Gateways) -> None:
+        self.places, self.workers, self.gateways = places, workers, gateways
+        self.lives: dict[str, int] = {}  # of gateways that were started again
+
+    def strike(self, strike: Strike) -> None:
+        """Carries out one strike, or mends it."""
+        fault = msgspec.to_builtins(strike.fault)
+        order = {"number": strike.number, "fault": fault, "begins": strike.begins}
+        what = targets(strike.kind)
+        if what == "link":
+            for name, worker in self.workers.items():
+                if name.startswith("links"):
+                    worker.say(order | {"do": "link", "from": strike.from_, "to": strike.to})
+        elif what == "g":
+            for name in strike.on:
+                self.strike_gateway(strike, name)
+        elif what == "b":
+            for name in strike.on:
+                self.strike_backend(strike, name, order)
+        else:
+            self.workers["front" if what == "clients" else what].say(
+                order | {"do": "front" if what == "clients" else what}
+            )
+
+    def strike_gateway(self, strike: Strike, name: str) -> None:
+        g, supervisor = self.places.gateway_names.index(name), self.workers["keeper"]
+        match strike.kind, strike.begins:
+            case ("kill", True):
+                supervisor.say({"do": "signal", "name": name, "signal": "SIGKILL", "ends": True})
+            case ("term", True):
+                supervisor.say({"do": "signal", "name": name, "signal": "SIGTERM", "ends": True})
+            case ("kill" | "term", False):
+                self.lives[name] = self.lives.get(name, 0) + 1
+                self.gateways.start_gateway(g, self.lives[name])
+            case ("stop", begins):
+                supervisor.say({"do": "signal", "name": name, "signal": "SIGSTOP" if begins else "SIGCONT"})
+            case ("reload", True):
+                self.gateways.configure(g)
+                supervisor.say({"do": "signal", "name": name, "signal": "SIGHUP"})
+
+    def strike_backend(self, strike: Strike, name: str, order: dict[str, Any]) -> None:
+        backends, discovery = self.workers["backends"], self.workers["discovery"]
+        now_ms, b = int(time.time() * 1000), self.places.backend_names.index(name)
+        backends.say(order | {"do": "backend", "name": name, "new": name + "-new"})
+        match strike.kind, strike.begins:
+            case ("crash", True):
+                discovery.say({"do": "list", "name": name, "status": "left", "since_ms": 0})
+            case ("crash", False):
+                discovery.say({"do": "list", "name": name, "status": "active", "since_ms": now_ms})
+            case ("drain" | "replace", True):
+                discovery.say({"do": "list", "name": name, "status": "leaving", "since_ms": 0})
+            case ("drain", False):
+                discovery.say({"do": "list", "name": name, "status": "left", "since_ms": 0})
+            case ("replace", False):
+                discovery.say({"do": "list", "name": name, "status": "left", "since_ms": 0})
+                discovery.say({"do": "list", "name": name + "-new", "status": "active", "since_ms": now_ms, "place": b})
--- a/stoneyoke/lab/http.py
+++ b/stoneyoke/lab/http.py
@@ -8,6 +8,8 @@
 
 
 class Request:
+    """A request that has been read whole, and the connection to answer it on."""
+
     __slots__ = ("body", "headers", "method", "served", "target")
 
     def __init__(self) -> None:
--- a/stoneyoke/lab/places.py
+++ b/stoneyoke/lab/places.py
@@ -1,11 +1,14 @@
 """Who is reached where: loopback addresses for processes and for the links to them. All in 127.0.0.0/8."""
 
+import socket
+
 from stoneyoke.lab.scenario import Scenario
 
 Address = tuple[str, int]
 
 
 def at(block: int, number: int, port: int) -> Address:
+    """The address of the numbered party of a block."""
     return f"127.{block}.{number // 250}.{number % 250 + 1}", port
 
 
@@ -66,4 +69,16 @@
 
 
 def text(address: Address) -> str:
+    """As configurations write it: HOST:PORT."""
     return f"{address[0]}:{address[1]}"
+
+
+def can_listen(address: tuple[str, int]) -> bool:
+    """Whether nobody listens there now."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(address)
+        except OSError:
+            return False
+    return True
--- a/stoneyoke/lab/plan.py
+++ b/stoneyoke/lab/plan.py
@@ -10,6 +10,8 @@
 
 
 class Customer(Struct, frozen=True):
+    """A customer: plan, gateways that it comes through, and how much of its quota it asks for."""
+
     account: int
     plan: int
     first: int  # the number of its first gateway
@@ -18,6 +20,8 @@
 
 
 class Arrival(Struct, frozen=True, array_like=True):
+    """An RPC that a client asks for."""
+
     at_us: int  # since the start
     number: int
     customer: int
@@ -40,6 +44,8 @@
 
 
 class Drawn(Struct, frozen=True):
+    """All that a seed makes of a scenario."""
+
     seed: int
     customers: list[Customer]
     arrivals: list[Arrival]
@@ -50,12 +56,14 @@
 
 
 def draw(scenario: Scenario, seed: int) -> Drawn:
+    """The customers, arrivals and strikes of a scenario with a seed."""
     chance = np.random.Generator(np.random.PCG64(seed))
     customers = draw_customers(scenario, chance)
     return Drawn(seed, customers, draw_arrivals(scenario, customers, chance), draw_strikes(scenario, chance))
 
 
 def draw_customers(scenario: Scenario, chance: np.random.Generator) -> list[Customer]:
+    """Customers of all plans, each with its set of gateways."""
     units = sum(m.units * m.share for m in scenario.method) / sum(m.share for m in scenario.method)
     shares = sum(plan.share for plan in scenario.plan)
     count, clients, customers = scenario.gateways.count, scenario.clients, []
@@ -104,6 +112,7 @@
 
 
 def draw_strikes(scenario: Scenario, chance: np.random.Generator) -> list[Strike]:
+    """The scenario's faults, and those drawn by chance, as strikes in the order of time."""
     faults = list(scenario.fault)
     if scenario.random:
         for _ in range(scenario.random.faults):
--- a/stoneyoke/lab/report.py
+++ b/stoneyoke/lab/report.py
@@ -10,9 +10,10 @@
 import msgspec
 import numpy as np
 
-from stoneyoke.lab.ledger import Ledger, read_rows
+from stoneyoke.lab.ledger import Ledger
+from stoneyoke.lab.ledger_index import read_rows
 from stoneyoke.lab.plan import Drawn
-from stoneyoke.lab.run import Result
+from stoneyoke.lab.result import Result
 from stoneyoke.lab.scenario import Scenario
 
 matplotlib.use("Agg")
@@ -35,6 +36,7 @@
 
 
 def picture(figure: Any) -> str:
+    """A figure as an image within the page."""
     data = io.BytesIO()
     figure.savefig(data, format="png", dpi=80, bbox_inches="tight")
     plt.close(figure)
@@ -42,6 +44,7 @@
 
 
 def faults_on(axis: Any, ledger: Ledger) -> None:
+    """Marks when faults began on a plot over time."""
     seen = set()
     for row in ledger.faults:
         if row[4] and (row[2], row[3]) not in seen:
@@ -51,6 +54,7 @@
 
 
 def plots(ledger: Ledger, scenario: Scenario) -> list[tuple[str, str]]:
+    """Title and image of each plot."""
     end, pictures = scenario.seconds, []
     bins = np.arange(0, end + 1, 1.0)
 
@@ -115,6 +119,7 @@
 
 
 def table(rows: list[tuple[str, ...]]) -> str:
+    """Rows as an HTML table."""
     cells = ["<tr>" + "".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) + "</tr>" for row in rows]
     return f"<table>{''.join(cells)}</table>"
 
--- a/stoneyoke/lab/scenario.py
+++ b/stoneyoke/lab/scenario.py
@@ -38,6 +38,8 @@
 
 
 class Gateways(Struct, forbid_unknown_fields=True, frozen=True):
+    """The gateways of a run and what each may use."""
+
     count: Count
     zones: Zones = msgspec.field(default_factory=lambda: ["a"])
     wave: Count = 25  # started at once
@@ -47,6 +49,8 @@
 
 
 class Backends(Struct, forbid_unknown_fields=True, frozen=True):
+    """The backends: capacity, cold start and load."""
+
     count: Count
     zones: Zones = msgspec.field(default_factory=lambda: ["a"])
     slots: Count = 8  # RPCs at work at once
@@ -62,6 +66,8 @@
 
 
 class Method(Struct, forbid_unknown_fields=True, frozen=True):
+    """A method: its effect, times, cost and share of the RPCs."""
+
     name: Annotated[str, Meta(pattern="^[a-z][a-z0-9-]{0,30}$")]
     effect: Literal["idempotent", "deduplicated", "at_most_once"]
     share: Positive
@@ -75,6 +81,8 @@
 
 
 class Plan(Struct, forbid_unknown_fields=True, frozen=True):
+    """A customer plan: quota, ceiling and how its customers use it."""
+
     name: Annotated[str, Meta(pattern="^[a-z][a-z0-9-]{0,30}$")]
     share: Positive  # of the load inside quotas
     rate: Positive
@@ -86,6 +94,8 @@
 
 
 class Clients(Struct, forbid_unknown_fields=True, frozen=True):
+    """How clients ask: retries, waits and how long they stay."""
+
     rps: Positive  # RPCs a second inside quotas
     greedy: Part = 0.1  # of the customers: they ask for `greed` times their rate
     greed: Positive = 3.0
@@ -100,6 +110,8 @@
 
 
 class Counter(Struct, forbid_unknown_fields=True, frozen=True):
+    """The counter service: calls a second and its parts."""
+
     per_s: Positive = 2000.0
     parts: Annotated[int, Meta(ge=1, le=16)] = 2
     limit_ms: Positive = 80.0
@@ -107,16 +119,22 @@
 
 
 class Discovery(Struct, forbid_unknown_fields=True, frozen=True):
+    """How late discovery is."""
+
     notice_ms: Annotated[float, Meta(ge=0)] = 800.0  # from a change to the list
     spread_ms: Annotated[float, Meta(ge=0)] = 400.0  # from the list to the last gateway
 
 
 class Fleet(Struct, forbid_unknown_fields=True, frozen=True):
+    """The fleet part of the gateways."""
+
     on: bool = False  # gateways know one another; their datagrams go over links, too
     seeds: Count = 3  # of the gateways, the first ones
 
 
 class Fault(Struct, forbid_unknown_fields=True, frozen=True):
+    """A fault: when, what, on whom and for how long."""
+
     at_s: Seconds
     kind: str
     on: str = ""  # a glob of process names, such as a/g* or b/b0*
@@ -132,6 +150,8 @@
 
 
 class Random(Struct, forbid_unknown_fields=True, frozen=True):
+    """Faults that the seed draws."""
+
     faults: Annotated[int, Meta(ge=1, le=50)]
     kinds: Annotated[list[str], Meta(min_length=1)]
     longest_s: Positive = 6.0
@@ -139,12 +159,16 @@
 
 
 class Bound(Struct, forbid_unknown_fields=True, frozen=True):
+    """A figure with the least or the most that it may be."""
+
     figure: str  # a key of the figures, such as goodput or violations
     least: float | None = None
     most: float | None = None
 
 
 class Scenario(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """A run as its file describes it."""
+
     name: Annotated[str, Meta(pattern="^[a-z0-9-]{1,40}$")]
     about: str = ""
     seed: Annotated[int, Meta(ge=0)] = 1
--- a/stoneyoke/lab/keeper.py
+++ b/stoneyoke/lab/supervisor.py
@@ -1,4 +1,4 @@
-"""Keeps the gateway processes: starts, signals and watches them, and ends them all with itself."""
+"""Supervises the gateway processes: starts, signals and watches them, and ends them all with itself."""
 
 import asyncio
 import os
@@ -8,15 +8,18 @@
 
 import psutil
 
-from stoneyoke.lab.part import Book, say
+from stoneyoke.lab.ledger_writer import LedgerWriter
+from stoneyoke.lab.role import say
 
 WATCH_S = 1.0
 TAIL = 12  # lines of its log that are told of a process that died
 
 
-class Keeper:
-    def __init__(self, given: dict[str, Any], book: Book) -> None:
-        self.book, self.out = book, Path(given["out"])
+class Supervisor:
+    """The role that holds all gateway processes of a run."""
+
+    def __init__(self, given: dict[str, Any], ledger: LedgerWriter) -> None:
+        self.ledger, self.out = ledger, Path(given["out"])
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.expected: set[str] = set()  # those that were told to end
         self.tasks: set[asyncio.Task[None]] = set()
@@ -47,14 +50,14 @@
                     start_new_session=True,
                 )
             self.processes[name] = process
-            self.book.add("process", name, "started", process.pid)
+            self.ledger.add("process", name, "started", process.pid)
             self.spawn(self.wait(name, process))
         elif order["do"] == "signal" and name in self.processes:
             process = self.processes[name]
             number = signal.Signals[order["signal"]]
             if order.get("ends"):
                 self.expected.add(name)
-            self.book.add("process", name, order["signal"], process.pid)
+            self.ledger.add("process", name, order["signal"], process.pid)
             if process.returncode is None:
                 process.send_signal(number)
         return None
@@ -65,7 +68,7 @@
             del self.processes[name]
         expected = name in self.expected
         self.expected.discard(name)
-        self.book.add("process", name, "ended", code, expected)
+        self.ledger.add("process", name, "ended", code, expected)
         lines = [] if expected else self.log(name).read_text(errors="replace").splitlines()[-TAIL:]
         say({"died": name, "code": code, "expected": expected, "lines": lines})
 
@@ -80,9 +83,9 @@
                         memory, fds, cpu = seen.memory_info().rss, seen.num_fds(), sum(seen.cpu_times()[:2])
                 except psutil.Error:
                     continue
-                self.book.add("use", name, memory, fds, round(cpu, 3))
+                self.ledger.add("use", name, memory, fds, round(cpu, 3))
                 if memory > self.memory or fds > self.descriptors:
-                    self.book.add("process", name, "over its limits", memory, fds)
+                    self.ledger.add("process", name, "over its limits", memory, fds)
 
     async def end(self) -> None:
         self.expected |= set(self.processes)
--- /dev/null
+++ b/stoneyoke/lab/worker_terms.py
@@ -0,0 +1,136 @@
+"""What each worker of a run is told on its first line of input."""
+
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+import numpy as np
+
+from stoneyoke.lab.gateway_files import backend_entry
+from stoneyoke.lab.machine_limits import link_processes
+from stoneyoke.lab.places import Places, text
+from stoneyoke.lab.plan import Drawn
+from stoneyoke.lab.result import speeds_of
+from stoneyoke.lab.scenario import Scenario
+
+
+class WorkerTerms(NamedTuple):
+    """A worker's name, its role, and what that is given."""
+
+    name: str
+    kind: str
+    given: dict[str, Any]
+
+
+def worker_terms(scenario: Scenario, places: Places, drawn: Drawn, seed: int, out: Path) -> list[WorkerTerms]:
+    """All workers of a run, in the order in which they start."""
+    return [
+        *link_terms(places),
+        backends_terms(scenario, places, seed),
+        counter_terms(scenario, places),
+        discovery_terms(scenario, places, seed),
+        clients_terms(scenario, places, drawn, seed),
+        supervisor_terms(scenario, out),
+    ]
+
+
+def link_terms(places: Places) -> list[WorkerTerms]:
+    """The processes that carry the links, each with its part of them."""
+    links, carriers = places.links(), link_processes(places)
+    peers = [(name, places.peer(g), places.to_peer(g)) for g, name in enumerate(places.gateway_names)]
+    return [
+        WorkerTerms(f"links{at}", "links", {"links": links[at::carriers], "peers": peers, "at": at, "of": carriers})
+        for at in range(carriers)
+    ]
+
+
+def backends_terms(scenario: Scenario, places: Places, seed: int) -> WorkerTerms:
+    """What the stand-ins of all backends are told."""
+    given, speeds = scenario.backends, speeds_of(scenario)
+    methods = [msgspec.to_builtins(m) for m in scenario.method]
+    return WorkerTerms(
+        "backends",
+        "backends",
+        {
+            "seed": seed,
+            "methods": methods,
+            "slots": given.slots,
+            "queue": given.queue,
+            "connections": given.connections,
+            "cold_share": given.cold_share,
+            "warm_up_s": given.warm_up_s,
+            "backends": [
+                (
+                    name,
+                    places.backend(b),
+                    speeds[b],
+                    {"all": "all", "zone": name.split("/")[0], "cell": f"{name.split('/')[0]}-{b % 7}"},
+                )
+                for b, name in enumerate(places.backend_names)
+            ],
+        },
+    )
+
+
+def counter_terms(scenario: Scenario, places: Places) -> WorkerTerms:
+    """What the counter's stand-in is told."""
+    return WorkerTerms(
+        "counter",
+        "counter",
+        {
+            "addresses": [places.counter_half(0), places.counter_half(1)],
+            "per_s": scenario.counter.per_s,
+            "parts": scenario.counter.parts,
+            "line_ms": scenario.counter.line_ms,
+        },
+    )
+
+
+def discovery_terms(scenario: Scenario, places: Places, seed: int) -> WorkerTerms:
+    """What discovery's stand-in is told: the list, and how late each gateway's agent is."""
+    given = scenario.backends
+    chance = np.random.Generator(np.random.PCG64(seed + 1))
+    late = (scenario.discovery.notice_ms + scenario.discovery.spread_ms * chance.random(scenario.gateways.count)) / 1000
+    return WorkerTerms(
+        "discovery",
+        "discovery",
+        {
+            "list": [backend_entry(places, b) for b in range(given.count)],
+            "agents": [(name, places.agent(g), float(late[g])) for g, name in enumerate(places.gateway_names)],
+            "addresses": [
+                [text(places.to_backend(g, b)) for b in range(given.count)] for g in range(scenario.gateways.count)
+            ],
+        },
+    )
+
+
+def clients_terms(scenario: Scenario, places: Places, drawn: Drawn, seed: int) -> WorkerTerms:
+    """What the clients are told: who asks for what, when and where."""
+    methods = [msgspec.to_builtins(m) for m in scenario.method]
+    return WorkerTerms(
+        "front",
+        "front",
+        {
+            "seed": seed,
+            "gateways": places.gateway_names,
+            "clients": msgspec.to_builtins(scenario.clients),
+            "methods": methods,
+            "plans": [p.name for p in scenario.plan],
+            "customers": [(c.account, c.plan, c.first, c.width) for c in drawn.customers],
+            "arrivals": msgspec.to_builtins(drawn.arrivals),
+            "entries": [places.to_gateway(g) for g in range(scenario.gateways.count)],
+        },
+    )
+
+
+def supervisor_terms(scenario: Scenario, out: Path) -> WorkerTerms:
+    """What the supervisor of the gateway processes is told."""
+    return WorkerTerms(
+        "keeper",
+        "keeper",
+        {
+            "out": str(out),
+            "sockets": scenario.gateways.sockets,
+            "memory_mb": scenario.gateways.memory_mb,
+        },
+    )
--- a/tests/lab/test_cluster.py
+++ b/tests/lab/test_cluster.py
@@ -1,12 +1,13 @@
-"""The whole system as real processes on loopback, with a core and a pilot killed; and a ledger that can tell."""
+"""The whole system as real processes on loopback, with two of them killed; and a ledger that can tell."""
 
 import asyncio
+import os
 
 from stoneyoke.lab.cluster import Ledger, trial
 
 
-def test_a_core_and_a_pilot_are_killed_and_nothing_is_lost_or_doubled():
-    ledger, client = asyncio.run(trial(6.0, 2, 30.0, 3))
+def test_a_controller_and_a_gateway_are_killed_and_nothing_is_lost_or_doubled():
+    ledger, client = asyncio.run(trial(6.0, 2, 30.0, 3, block=1 + os.getpid() % 250))
     assert ledger.judge() == []
     assert client.served > 60 and client.given_up < 0.2 * client.served
     assert ledger.orders and all(ledger.runs[mark] <= 1 for mark in ledger.orders)
--- a/tests/lab/test_run.py
+++ b/tests/lab/test_run.py
@@ -110,14 +110,14 @@
 
 
 def test_the_gateways_key_is_whole_while_the_next_one_is_configured(tmp_path):
-    run = Run(read(SHIPPED / "fleet.toml"), 7, tmp_path, 22070)
+    run = Run(read(SHIPPED / "fleet.toml"), 7, tmp_path)
     (tmp_path / "configs").mkdir()
-    run.write_keys()
-    written = run.keys.stat()
+    run.files.write_keys()
+    written = run.files.keys.stat()
     run.configure(0)
     run.configure(1)
-    assert run.keys.stat().st_mtime_ns == written.st_mtime_ns and run.keys.stat().st_ino == written.st_ino
-    assert str(run.keys) in (tmp_path / "configs" / "g001.toml").read_text()
+    assert run.files.keys.stat().st_mtime_ns == written.st_mtime_ns and run.files.keys.stat().st_ino == written.st_ino
+    assert str(run.files.keys) in (tmp_path / "configs" / "g001.toml").read_text()
 
 
 def test_a_busy_port_is_told_before_anything_starts(tmp_path):
