--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -222,6 +222,11 @@
         writer.transport.abort()
 
 
+def total(text):
+    """The counter's answer."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+
+
 def json_answer(value):
     body = json.dumps(value).encode()
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
