--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,14 +5,18 @@
 import itertools
 import json
 import socket
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, Self, TypeVar
 
 from stoneyoke.__main__ import Charter, Program
 from stoneyoke.control import Gateway
 from stoneyoke.interface import (
+    Action,
     Arrival,
     CallOut,
     CallOutEnded,
     Effect,
+    Event,
     FleetNews,
     Group,
     Listed,
@@ -24,6 +28,10 @@
     TimerFired,
 )
 
+Heard = tuple[list[bytes], bytes]  # a message: its head's lines and its body
+Answer = tuple[int, dict[bytes, bytes], bytes]  # status, headers, body
+Kind = TypeVar("Kind")
+
 START = 1_000_000_000_000
 METHODS = (
     Method(Effect.IDEMPOTENT, Group.CELL, 1_000_000, 2_500_000, 0, 1.0),
@@ -33,12 +41,19 @@
 )
 
 
-def plan(rate=4.0, burst=12.0, parallel=0, ceiling_rate=0.0, ceiling_burst=0.0, price=1.0):
+def plan(
+    rate: float = 4.0,
+    burst: float = 12.0,
+    parallel: int = 0,
+    ceiling_rate: float = 0.0,
+    ceiling_burst: float = 0.0,
+    price: float = 1.0,
+) -> Plan:
     return Plan(rate, burst, price, parallel, ceiling_rate, ceiling_burst)
 
 
-def terms(plans=None, **changes):
-    values = {
+def terms(plans: tuple[Plan, ...] | None = None, **changes: Any) -> Terms:
+    values: dict[str, Any] = {
         "seed": 7,
         "gateways": 3,
         "own_index": 0,
@@ -64,30 +79,48 @@
 class Bench:
     """Drives one gateway and keeps every action with its time."""
 
-    def __init__(self, fleet=6, started=None, **changes):
-        self.now, self.next_rpc, self.log = START, 0, []
+    def __init__(self, fleet: int = 6, started: dict[int, int] | None = None, **changes: Any) -> None:
+        self.now, self.next_rpc = START, 0
+        self.log: list[tuple[int, Action]] = []
         self.gateway = Gateway(terms(**changes), START)
         started = started or {}
         self.tell(
             FleetNews(True, False, [Listed(i, i % 2, i % 3, started.get(i, 0), State.READY) for i in range(fleet)])
         )
 
-    def tell(self, event):
+    def tell(self, event: Event) -> list[Action]:
         actions = self.gateway.handle(event, self.now)
         self.log += [(self.now, action) for action in actions]
         return actions
 
-    def arrive(self, method=0, customer=0, units=1.0, width=3.0, wait=2_500_000, plan=0, repeat=None):
+    def arrive(
+        self,
+        method: int = 0,
+        customer: int = 0,
+        units: float = 1.0,
+        width: float = 3.0,
+        wait: int = 2_500_000,
+        plan: int = 0,
+        repeat: bool | None = None,
+    ) -> list[Action]:
         self.next_rpc += 1
         return self.tell(Arrival(self.next_rpc, method, plan, customer, 1000 + customer, wait, units, width, repeat))
 
-    def end(self, rpc, n, backend, outcome=Outcome.OK, closed=None, units=0.0):
+    def end(
+        self,
+        rpc: int,
+        n: int,
+        backend: int,
+        outcome: Outcome = Outcome.OK,
+        closed: bool | None = None,
+        units: float = 0.0,
+    ) -> list[Action]:
         closed = outcome is Outcome.OK if closed is None else closed
         return self.tell(CallOutEnded(rpc, n, backend, outcome, closed, units))
 
-    def pass_time(self, microseconds, answer=None):
+    def pass_time(self, microseconds: int, answer: Callable[[Action], Event | None] | None = None) -> list[Action]:
         """Beats on the way; answer(action) may return an event for an action."""
-        until, out = self.now + microseconds, []
+        until, out = self.now + microseconds, list[Action]()
         while self.now < until:
             self.now = min(until, self.now + 50_000 - self.now % 50_000)
             actions = self.tell(TimerFired(0))
@@ -98,17 +131,17 @@
         return out
 
 
-def of(kind, actions):
+def of(kind: type[Kind], actions: Iterable[Any]) -> list[Kind]:
     return [a for a in actions if isinstance(a, kind)]
 
 
-def sent(actions):
+def sent(actions: Iterable[Any]) -> list[CallOut]:
     return of(CallOut, actions)
 
 
 # ---- the gateway on loopback sockets, between stand-ins of the systems around it ----
 
-SETTINGS = {
+SETTINGS: dict[str, Any] = {
     "balancers": 3,
     "self-index": 1,
     "zone": 0,
@@ -150,17 +183,17 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
 
 
-def on_loop(test):
+def on_loop(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
     """Runs an async test to its end, 20 s at most."""
 
     @functools.wraps(test)
-    def run(*args, **kwargs):
+    def run(*args: Any, **kwargs: Any) -> None:
         asyncio.run(asyncio.wait_for(test(*args, **kwargs), 20))
 
     return run
 
 
-async def until(holds):
+async def until(holds: Callable[[], Any]) -> None:
     """Lets the loop run on until holds() does; on_loop's limit is the end of it."""
     while not holds():  # noqa: ASYNC110 -- what it looks at has no event
         await asyncio.sleep(0.002)
@@ -169,17 +202,17 @@
 LAB_PORT_MAX = 60_000  # the largest that `stoneyoke lab` takes
 
 
-def free_port(host="127.10.0.1", kind=socket.SOCK_STREAM):
+def free_port(host: str = "127.10.0.1", kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
     """A port that nobody listens on now: so that runs beside each other don't meet on a fixed one."""
     while True:
         with socket.socket(type=kind) as probe:
             probe.bind((host, 0))
-            port = probe.getsockname()[1]
+            port: int = probe.getsockname()[1]
         if port <= LAB_PORT_MAX:
             return port
 
 
-async def read_message(reader):
+async def read_message(reader: asyncio.StreamReader) -> Heard | None:
     """A message as it stands on the wire: its head's lines and its body. None where the stream ends."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
@@ -194,19 +227,20 @@
     """An HTTP server whose answers the test sets: bytes, or a coroutine function of (request, writer).
     None says nothing; b"" closes the connection."""
 
-    def __init__(self, answer=OK):
-        self.answer, self.got, self.connections, self.closed = answer, [], 0, 0
+    def __init__(self, answer: Any = OK) -> None:
+        self.answer, self.connections, self.closed = answer, 0, 0
+        self.got: list[Heard] = []
 
-    async def __aenter__(self):
+    async def __aenter__(self) -> Self:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = self.server.sockets[0].getsockname()
         self.text = f"{self.address[0]}:{self.address[1]}"
         return self
 
-    async def __aexit__(self, *_):
+    async def __aexit__(self, *_: object) -> None:
         self.server.close()
 
-    async def serve(self, reader, writer):
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         try:
             while request := await read_message(reader):
@@ -222,17 +256,17 @@
         writer.transport.abort()
 
 
-def total(text):
+def total(text: bytes) -> bytes:
     """The counter's answer."""
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
 
 
-def json_answer(value):
+def json_answer(value: Any) -> bytes:
     body = json.dumps(value).encode()
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
-def entry(name, address, status="active", since_ms=0):
+def entry(name: str, address: str, status: str = "active", since_ms: int = 0) -> dict[str, Any]:
     return {
         "name": name,
         "address": address,
@@ -248,9 +282,9 @@
 IDS = itertools.count(1)
 
 
-def rpc(kind=b"look", body=b"", **changes):
+def rpc(kind: bytes = b"look", body: bytes = b"", **changes: str | None) -> bytes:
     """An RPC on the wire, with an id of its own; a change of None leaves the header out."""
-    fields = {
+    fields: dict[str, str | None] = {
         "Host": "app.svc",
         "Req-Id": f"{next(IDS):016x}",
         "Req-Kind": kind.decode(),
@@ -270,10 +304,10 @@
 class Caller:
     """A client's connection, byte for byte."""
 
-    def __init__(self, address, buffer=None):
+    def __init__(self, address: tuple[str, int], buffer: int | None = None) -> None:
         self.address, self.buffer = address, buffer
 
-    async def __aenter__(self):
+    async def __aenter__(self) -> Self:
         sock = socket.socket()
         if self.buffer:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.buffer)
@@ -282,16 +316,19 @@
         self.reader, self.writer = await asyncio.open_connection(sock=sock)
         return self
 
-    async def __aexit__(self, *_):
+    async def __aexit__(self, *_: object) -> None:
         self.writer.transport.abort()
 
-    async def ask(self, data):
+    async def ask(self, data: bytes) -> Answer:
         """The status, the headers and the body of what comes back."""
         self.writer.write(data)
         return await self.hear()
 
-    async def hear(self):
-        lines, body = await read_message(self.reader)
+    async def hear(self) -> Answer:
+        """What comes back without having asked."""
+        heard = await read_message(self.reader)
+        assert heard
+        lines, body = heard
         headers = dict(line.split(b": ", 1) for line in lines[1:])
         return int(lines[0].split()[1]), headers, body
 
@@ -299,18 +336,18 @@
 class Town:
     """A whole gateway, listening, with a backend, a counter and discovery as stand-ins."""
 
-    def __init__(self, answer=OK, limits=None, **caps):
+    def __init__(self, answer: Any = OK, limits: dict[str, Any] | None = None, **caps: Any) -> None:
         self.caps = SETTINGS["caps"] | caps
         self.backend = StandIn(answer)
         self.counter = StandIn(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n2.0")
         self.discovery = StandIn(self.tell)
         self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-        self.list = None
+        self.list: Any = None
 
-    async def tell(self, request, _):
+    async def tell(self, request: Heard, _: asyncio.StreamWriter) -> bytes | None:
         return json_answer(self.list) if b"hold_ms" not in request[0][0] else None
 
-    async def __aenter__(self):
+    async def __aenter__(self) -> Self:
         for part in (self.backend, self.counter, self.discovery):
             await part.__aenter__()
         self.list = {"index": 4, "snapshot": True, "endpoints": [entry("s-1", self.backend.text)]}
@@ -328,15 +365,15 @@
         self.address = self.program.server.sockets[0].getsockname()
         return self
 
-    async def __aexit__(self, *_):
+    async def __aexit__(self, *_: object) -> None:
         self.program.server.close()
         self.program.discovery.end()
         self.program.sweeping.cancel()
         for part in (self.backend, self.counter, self.discovery):
             await part.__aexit__()
 
-    def caller(self, buffer=None):
+    def caller(self, buffer: int | None = None) -> Caller:
         return Caller(self.address, buffer)
 
-    def count(self, what):
+    def count(self, what: str) -> int:
         return self.program.tally.counts[what]
