--- a/stoneyoke/lab/simulation/runs.py
+++ b/stoneyoke/lab/simulation/runs.py
@@ -6,11 +6,13 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from pathlib import Path
+from typing import NamedTuple
 
 from stoneyoke.lab.simulation import seeded_defects
 from stoneyoke.lab.simulation.hard_days import HARD_DAYS
 from stoneyoke.lab.simulation.judge import Outcome
-from stoneyoke.lab.simulation.plans import Plan
+from stoneyoke.lab.simulation.plans import Plan, read_plan
 from stoneyoke.lab.simulation.random_plans import make_plan
 from stoneyoke.lab.simulation.scenario import Scenario
 
@@ -75,3 +77,17 @@
             tally.broken.append(outcome)
     tally.seconds, tally.trace = time.monotonic() - begun, sums.hexdigest()
     return tally
+
+
+class KeptCase(NamedTuple):
+    """How a plan that is kept for a seeded defect fares: whether it breaks without that defect, and with it."""
+
+    breaks_without: bool
+    breaks_with: bool
+
+
+def kept_case(path: str) -> KeptCase:
+    """Plays a kept plan both ways; its file is named after the defect."""
+    file = Path(path)
+    plan = read_plan(file.read_text())
+    return KeptCase(bool(play(plan).broken), bool(play(plan, file.stem).broken))
--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -13,7 +13,7 @@
 from stoneyoke.lab.simulation.hard_days import HARD_DAYS
 from stoneyoke.lab.simulation.plans import read_plan, shrunk
 from stoneyoke.lab.simulation.random_plans import make_plan
-from stoneyoke.lab.simulation.runs import count, play, play_many, play_seed
+from stoneyoke.lab.simulation.runs import count, kept_case, play, play_many, play_seed
 from stoneyoke.lab.simulation.seeded_defects import SEEDED_DEFECTS
 
 KEPT = sorted((Path(__file__).parent / "regress").glob("*.json"))
@@ -51,17 +51,11 @@
         assert other.stdout.strip() == str(own)
 
 
-def kept_case(file):
-    """Whether it breaks without its defect, and with it."""
-    plan = read_plan(file.read_text())
-    return bool(play(plan).broken), bool(play(plan, file.stem).broken)
-
-
 @test("kept cases break with their defect, and not without")
 def _():
     assert len(KEPT) >= 7
     with ProcessPoolExecutor(os.cpu_count() or 1) as pool:
-        for file, seen in zip(KEPT, pool.map(kept_case, KEPT), strict=True):
+        for file, seen in zip(KEPT, pool.map(kept_case, map(str, KEPT)), strict=True):
             assert seen == (False, True), file.name
 
 
