--- a/stoneyoke/lab/simulation/backends.py
+++ b/stoneyoke/lab/simulation/backends.py
@@ -12,7 +12,7 @@
     from stoneyoke.lab.simulation.scenario import Scenario
 
 TRIES = 3
-DRAIN_S = 3.0  # between its drain and its end
+DRAIN_S = (3.0, 3.0, 9.0)  # between its drain and its end
 PAUSE_S = 2.0  # between two lives
 
 
@@ -50,7 +50,7 @@
             await self.beat("ready")
             await asyncio.sleep(BEAT_S * self.scenario.chance.uniform(0.9, 1.1))
 
-    async def drain(self, then_s: float = DRAIN_S) -> None:
+    async def drain(self, then_s: float) -> None:
         scenario = self.scenario
         if await self.beat("draining"):
             scenario.judge.drained.append(Drained(scenario.now(), self.name))
@@ -69,7 +69,7 @@
         life = BackendLife(scenario, f"i-{at}-{number}", f"10.9.0.{at + 1}:80")
         await life.beat_until(scenario.now() + scenario.chance.uniform(3, 25))
         if scenario.chance.random() < 0.7:
-            await life.drain()
+            await life.drain(scenario.chance.choice(DRAIN_S))
         await asyncio.sleep(PAUSE_S)
 
 
--- a/stoneyoke/lab/simulation/hard_days.py
+++ b/stoneyoke/lab/simulation/hard_days.py
@@ -239,20 +239,24 @@
 
 
 def old_majority_meets_again(holder: int) -> Plan:
-    """One voter is replaced while it is cut off and another one stands still; then the old ones meet, and the new."""
-    gone, frozen, stays = ((C1, C2, C3), (C2, C3, C1), (C3, C1, C2), (C1, C3, C2))[holder]
+    """One voter is replaced while it is cut off and another one misses that; then the old ones meet, and the new."""
+    gone, misses, stays = ((C1, C2, C3), (C2, C3, C1), (C3, C1, C2), (C1, C3, C2))[holder]
     faults = (
         Fault(BEGIN_S, "cut", 4.0, (gone,)),
-        Fault(BEGIN_S + 1.0, "at_message", 2.9, (frozen,), how="freeze", message="AcceptRequest", sent=False),
+        Fault(BEGIN_S + 1.0, "at_message", 2.2, (misses,), how="kill", message="AcceptRequest", sent=False),
         Fault(BEGIN_S + 4.0, "cut", 7.0, (C4, stays)),
     )
     orders = tuple(Order(BEGIN_S + 4.5 + at, 2 + at, contents=6) for at in range(5))
     return Plan(314 + holder, 4, seconds=16.0, orders=orders, faults=faults, reads=False)
 
 
-def all_restart_and_nobody_reads() -> Plan:
-    faults = (Fault(BEGIN_S, "power_all", 0.5, (C1, C2, C3)),)
-    return Plan(318, seconds=8.0, faults=faults, reads=False)
+def acknowledged_and_told_to_nobody() -> Plan:
+    """Whoever has confirmed an order goes for good before any other controller has heard that it is decided."""
+    faults = (
+        Fault(BEGIN_S, "at_message", 0.5, how="cut", message="ChosenNotice"),
+        Fault(BEGIN_S, "after_ack", how="remove"),
+    )
+    return Plan(318, 4, seconds=14.0, orders=(Order(BEGIN_S + 0.1, 2),), faults=faults, reads=False)
 
 
 # ---- 4: after hundreds of changes ----
@@ -293,8 +297,8 @@
 
 def drained_then_lost() -> Plan:
     """Whoever has acknowledged a drain loses its power within milliseconds."""
-    faults = tuple(Fault(BEGIN_S + 6 * at, "after_drain", 4.0, how="power") for at in range(6))
-    return Plan(112, gateways=3, seconds=42.0, backends=8, faults=faults)
+    faults = tuple(Fault(BEGIN_S + 10 * at, "after_drain", 0.2, how="power") for at in range(8))
+    return Plan(112, gateways=3, seconds=84.0, backends=12, faults=faults)
 
 
 # ---- 5: late, doubled and lost answers ----
@@ -339,7 +343,7 @@
     "old_majority_meets_again_2": old_majority_meets_again(1),
     "old_majority_meets_again_3": old_majority_meets_again(2),
     "old_majority_meets_again_4": old_majority_meets_again(3),
-    "all_restart_and_nobody_reads": all_restart_and_nobody_reads(),
+    "acknowledged_and_told_to_nobody": acknowledged_and_told_to_nobody(),
     "lease_answers_late": lease_answers_late(False),
     "lease_answers_late_one_way": lease_answers_late(True),
     "drained_then_lost": drained_then_lost(),
