--- a/stoneyoke/lab/capacity/metered_network.py
+++ b/stoneyoke/lab/capacity/metered_network.py
@@ -71,10 +71,11 @@
     def far(self, own: str, other: str) -> bool:
         return self.region_of(own) != self.region_of(other)
 
-    async def cross(self, own: str, other: str) -> None:
-        await super().cross(own, other)
+    async def cross(self, own: str, other: str) -> bool:
+        arrives = await super().cross(own, other)
         if self.far(own, other):
             await asyncio.sleep(self.far_s)
+        return arrives
 
     async def deliver(self, own: str, other: str, kind: str, data: bytes, answer: asyncio.Future[bytes]) -> None:
         self.traffic.carried(own, other, len(data), self.far(own, other))
