--- a/stoneyoke/controlplane/membership.py
+++ b/stoneyoke/controlplane/membership.py
@@ -12,6 +12,7 @@
 from stoneyoke.controlplane.voter_set import LOST_PART, STEADY_S, MemberReport, change_of_voters, next_members
 
 LOOK_S = 0.25
+START_LOOK_S = 0.05  # while nothing is known to be chosen: gateways that start wait for it
 CHANGE_S = 2.0  # one change of voters may take so long
 UNSETTLED_S = 0.4  # a value may be accepted and not known to be chosen for so long: several times a round
 
@@ -40,11 +41,12 @@
     async def tend(self) -> None:
         """For as long as this process lives."""
         while True:
-            await asyncio.sleep(LOOK_S * (0.8 + 0.4 * self.chance.random()))
             try:
                 await self.look()
             except Exception:
                 logger.exception("tending the voters failed")
+            pause = LOOK_S if self.replica.chosen else START_LOOK_S
+            await asyncio.sleep(pause * (0.8 + 0.4 * self.chance.random()))
 
     async def look(self) -> None:
         if self.unsettled():
