--- a/stoneyoke/controlplane/replica.py
+++ b/stoneyoke/controlplane/replica.py
@@ -88,24 +88,27 @@
 
     async def keep_at_last(self, family: str, record: Record) -> None:
         """Written when this returns: without it this disk has no name, and nothing may rest on it."""
+        await self.at_last(self.store.keep, family, record)
+
+    async def at_last(self, work: Callable[..., Any], *args: Any) -> Any:
+        """A start waits for a disk that refuses: until it is read and written nothing may rest on it."""
         while True:
             try:
-                await self.blocking(self.store.keep, family, record)
-                return
+                return await self.blocking(work, *args)
             except StorageError as bad:
                 logger.error("disk: {}", bad)
                 await asyncio.sleep(START_RETRY_S)
 
     async def load_record(self, family: str, read: Callable[[Record], Any]) -> Any:
-        record, wrong = await self.blocking(self.store.load, family)
+        record, wrong = await self.at_last(self.store.load, family)
         for what in wrong:
             logger.warning("disk: {}", what)
         return read(record) if record else None
 
     async def load_old(self) -> Accepted | None:
         """The records of the release before, if these are all that there is."""
-        voters, _ = await self.blocking(self.store.load, OLD_VOTERS)
-        configuration, _ = await self.blocking(self.store.load, OLD_CONFIGURATION)
+        voters, _ = await self.at_last(self.store.load, OLD_VOTERS)
+        configuration, _ = await self.at_last(self.store.load, OLD_CONFIGURATION)
         try:
             held = read_configuration(configuration[b"body"]).version if configuration else Version()
             return read_old_records(voters, configuration, held)
