--- a/stoneyoke/lab/simulation/hard_days.py
+++ b/stoneyoke/lab/simulation/hard_days.py
@@ -279,6 +279,17 @@
     return every_voter_replaced(402, 3, 1, exchanges=30)
 
 
+def starts_on_a_disk_that_refuses() -> Plan:
+    """Its process begins while its disk can be neither read nor written, and again on an empty one."""
+    faults = (
+        Fault(BEGIN_S, "disk", 4.0, (C2,), how="refuse"),
+        Fault(BEGIN_S + 1, "kill", 0.2, (C2,)),
+        Fault(BEGIN_S + 12, "disk", 3.0, (C3,), how="refuse"),
+        Fault(BEGIN_S + 12.5, "wipe", 0.2, (C3,)),
+    )
+    return Plan(403, seconds=20.0, orders=steady_orders(16, every_s=1.0), faults=faults)
+
+
 # ---- the lease, drains ----
 
 
@@ -344,6 +355,7 @@
     "old_majority_meets_again_3": old_majority_meets_again(2),
     "old_majority_meets_again_4": old_majority_meets_again(3),
     "acknowledged_and_told_to_nobody": acknowledged_and_told_to_nobody(),
+    "starts_on_a_disk_that_refuses": starts_on_a_disk_that_refuses(),
     "lease_answers_late": lease_answers_late(False),
     "lease_answers_late_one_way": lease_answers_late(True),
     "drained_then_lost": drained_then_lost(),
--- a/stoneyoke/lab/simulation/network.py
+++ b/stoneyoke/lab/simulation/network.py
@@ -19,6 +19,7 @@
 DELAY_S = 0.0015
 LATE_S = (0.02, 0.2, 0.8, 2.0)  # how late a late message is
 NO_POWER_STEP_S = 0.5
+SCATTER_S = 0.05
 
 
 @dataclass(slots=True)
@@ -91,6 +92,7 @@
         ended = self.ended[own]
         while self.blocked(own, other):
             await self.opened.wait()
+            await asyncio.sleep(self.chance.uniform(0.0, SCATTER_S))  # what waited comes in any order
         return self.ended[own] == ended
 
     def dialler(self, own: str) -> Callable[[tuple[str, int]], Any]:
--- a/tests/system/test_hard_days.py
+++ b/tests/system/test_hard_days.py
@@ -32,6 +32,7 @@
     "old_majority_meets_again_3": {"cut": 2, "acknowledged": 5},
     "old_majority_meets_again_4": {"cut": 2, "acknowledged": 5},
     "acknowledged_and_told_to_nobody": {"cut": 1, "remove": 1, "acknowledged": 2},
+    "starts_on_a_disk_that_refuses": {"disk": 2, "kill": 1, "acknowledged": 15},
     "lease_answers_late": {"freeze": 8, "split": 8},
     "lease_answers_late_one_way": {"freeze": 8, "split": 8},
     "drained_then_lost": {"power": 6, "drains": 20},
