--- /dev/null
+++ b/stoneyoke/lab/simulation/fleet_defects.py
@@ -0,0 +1,177 @@
+"""Defects of leases, quotas, gateways and the instances that they know."""
+
+import zlib
+from typing import Any
+
+from stoneyoke.controlplane import (
+    consensus,
+    discovery_service,
+    instance_registry,
+    leases,
+)
+from stoneyoke.api.calls import Acknowledged
+from stoneyoke.api.configuration import Version, read_configuration
+from stoneyoke.limits import shares
+from stoneyoke.gateway import admission, config_sync, instance_directory
+from stoneyoke.lab.simulation.register_defects import Patch
+from stoneyoke.transport.messages import FetchResponse, FetchRequest
+
+
+def lease_unfenced() -> list[Patch]:
+    """A holder believes in its lease for twice as long as voters do."""
+    return [(leases, "STOP", 2.0)]
+
+
+def grants_after_start() -> list[Patch]:
+    """A voter that has just started grants at once."""
+    real = leases.LeaseGranter.__init__
+
+    def init(self: leases.LeaseGranter, now: float, fresh: bool) -> None:
+        real(self, now, True)
+
+    return [(leases.LeaseGranter, "__init__", init)]
+
+
+def counts_from_answer() -> list[Patch]:
+    """A holder counts its lease from when the grants came, not from before it asked."""
+    real = leases.LeaseHolder.answer
+
+    def answer(
+        self: leases.LeaseHolder,
+        voter: consensus.ReplicaId,
+        ok: bool,
+        voters: tuple[consensus.ReplicaId, ...],
+        began: float,
+        now: float,
+    ) -> None:
+        real(self, voter, ok, voters, began, now)
+        if self.until > now:
+            self.until = now + leases.TTL_S
+
+    return [(leases.LeaseHolder, "answer", answer)]
+
+
+def alone_not_told() -> list[Patch]:
+    """What gateways use alone is never counted."""
+    real = shares.QuotaAllocator.give
+
+    def give(self: shares.QuotaAllocator, name: str, wants: shares.Want, silent: Any, now: float) -> shares.Give:
+        return real(self, name, (wants[0], wants[1], wants[2], 0.0, wants[4]), silent, now)
+
+    return [(shares.QuotaAllocator, "give", give)]
+
+
+def silent_not_lent() -> list[Patch]:
+    """What silent gateways may be using is not taken off the store."""
+    real = shares.Pool.fill
+
+    def fill(self: shares.Pool, withheld: float, silent: Any, now: float) -> None:
+        real(self, withheld, {}, now)
+
+    return [(shares.Pool, "fill", fill)]
+
+
+def new_keeper_trusts() -> list[Patch]:
+    """A new keeper holds nothing back for gateways that it has not heard."""
+    return [(shares.QuotaAllocator, "withheld", lambda self, pool: 0.0)]
+
+
+def new_keeper_full() -> list[Patch]:
+    """A new keeper's stores begin full."""
+    return [(shares, "START", 20.0)]
+
+
+def parts_over_one() -> list[Patch]:
+    """Parts are told by demand alone, whatever others hold; each is floored at half of the even one."""
+    real = shares.QuotaAllocator.give
+
+    def give(self: shares.QuotaAllocator, name: str, wants: shares.Want, silent: Any, now: float) -> shares.Give:
+        tenant, units, wait, part, reserve = real(self, name, wants, silent, now)
+        return tenant, units, wait, max(part, 0.9), max(reserve, 10.0)
+
+    return [(shares.QuotaAllocator, "give", give)]
+
+
+def part_for_ever() -> list[Patch]:
+    """A gateway's part has no end, though its keeper counts on one."""
+
+    def left(self: shares.LocalQuota, heard_at: float, now: float) -> tuple[float, float]:
+        return (self.part, self.reserve) if self.part else (0.5, 0.0)
+
+    return [(shares.LocalQuota, "left", left)]
+
+
+def pull_from_one() -> list[Patch]:
+    """A gateway is caught up as soon as one core has answered."""
+
+    def caught_up(self: instance_directory.InstanceDirectory, now: float) -> Any:
+        heard = [one.news for one in self.sources.values() if one.news]
+        return max((Version(*news.stamp) for news in heard), default=None)
+
+    return [(instance_directory.InstanceDirectory, "caught_up", caught_up)]
+
+
+def goes_back() -> list[Patch]:
+    """A gateway takes whatever configuration it is told."""
+
+    async def fetch(self: config_sync.ConfigSync, name: str) -> None:
+        bill = await self.wires[name].call(FetchRequest(), 1.0)
+        if isinstance(bill, FetchResponse) and bill.body:
+            chart = read_configuration(zlib.decompress(bill.body))
+            self.version = chart.version
+            self.take(chart)
+
+    async def pull(self: config_sync.ConfigSync, name: str) -> None:
+        await real(self, name)
+        news = self.roster.sources[name].news
+        if news and news.stamp[0] and Version(*news.stamp) != self.version:
+            await fetch(self, name)
+
+    real = config_sync.ConfigSync.pull
+    return [(config_sync.ConfigSync, "pull", pull)]
+
+
+def drain_at_one() -> list[Patch]:
+    """A drain is acknowledged once the core that was asked knows it, and told to nobody."""
+
+    async def spread(self: Any, row: Any) -> Any:
+        return Acknowledged()
+
+    async def beats(self: Any, rows: Any) -> None:
+        pass
+
+    return [
+        (discovery_service.DiscoveryService, "spread", spread),
+        (discovery_service.DiscoveryService, "tell_beats", beats),
+    ]
+
+
+def drain_forgotten() -> list[Patch]:
+    """A new tenant at a drained record's address makes it a silent one."""
+
+    def evict(self: instance_registry.InstanceRegistry, row: Any, now: float) -> None:
+        for other in self.records.values():
+            if (
+                other.row.address == row.address
+                and other.row.instance != row.instance
+                and (other.row.phase < instance_registry.Phase.GONE)
+            ):
+                other.row = other.row._replace(phase=int(instance_registry.Phase.SILENT))
+                self.changed(other)
+
+    return [(instance_registry.InstanceRegistry, "evict", evict)]
+
+
+def gives_back_late() -> list[Patch]:
+    """A round of asking for a duty has no number: a late one that gives back undoes a newer grant."""
+    real = leases.LeaseGranter.ask
+
+    def ask(self: leases.LeaseGranter, duty: str, holder: str, life: str, ttl_s: float, now: float, number: int) -> Any:
+        return real(self, duty, holder, life, ttl_s, now, 0)
+
+    return [(leases.LeaseGranter, "ask", ask)]
+
+
+def first_whole() -> list[Patch]:
+    """Each gateway that falls silent begins with what all together may."""
+    return [(admission, "FIRST", 6.0), (shares, "FIRST", 6.0)]
--- /dev/null
+++ b/stoneyoke/lab/simulation/register_defects.py
@@ -0,0 +1,187 @@
+"""Defects of the register: of consensus, its records, its voters, and what operators are told."""
+
+from dataclasses import replace
+from typing import Any
+
+from stoneyoke.controlplane import (
+    configuration_service,
+    consensus,
+    leases,
+    membership,
+    peers,
+    replica,
+    replication,
+)
+from stoneyoke.controlplane.record_formats import PROMISE
+from stoneyoke.api.calls import Acknowledged, Rejected
+from stoneyoke.storage import record_store
+
+Patch = tuple[Any, str, Any]
+
+
+def quorum_short() -> list[Patch]:
+    """A majority that is one short."""
+
+    def short(voters: int) -> int:
+        return max(1, voters // 2)
+
+    return [(consensus, "majority", short)]
+
+
+def copies_short() -> list[Patch]:
+    """One answer too few before what was acknowledged counts as known."""
+
+    def short(voters: int) -> int:
+        return max(1, (voters + 1) // 2 - 1)
+
+    return [(consensus, "copies", short)]
+
+
+def lost_disk_votes() -> list[Patch]:
+    """A machine that lost its disk comes back as the member that it was."""
+    real = replica.Replica.load
+
+    async def load(self: replica.Replica, seeds: tuple[str, ...], first_start: bool, chance: Any) -> None:
+        await real(self, seeds, first_start, chance)
+        self.identity = self.identity._replace(disk=consensus.FIRST_DISK)
+
+    return [(replica.Replica, "load", load)]
+
+
+def promises_in_memory() -> list[Patch]:
+    """Promises are not written."""
+    from stoneyoke.lab.simulation.disks import SimulatedRecordStore
+
+    real = SimulatedRecordStore.keep
+
+    def keep(self: SimulatedRecordStore, family: str, record: dict[bytes, bytes]) -> None:
+        if family != PROMISE:
+            real(self, family, record)
+
+    return [(SimulatedRecordStore, "keep", keep)]
+
+
+def accepts_any() -> list[Patch]:
+    """A voter accepts whatever it has promised."""
+    return [(consensus.Acceptor, "may_accept", lambda self, ballot: True)]
+
+
+def joint_ignored() -> list[Patch]:
+    """A change of voters is decided by the new ones alone."""
+    return [(consensus.RegisterValue, "groups", lambda self: (self.voters.members,))]
+
+
+def highest_digest_wins() -> list[Patch]:
+    """Of two contents under one number the one with the greater digest replaces the other, and both are confirmed."""
+
+    def applied(orders: Any, found: Any) -> Any:
+        highest = max(orders, key=lambda one: one.version)
+        return replace(found, version=highest.version, body=highest.body) if highest.version > found.version else found
+
+    def verdict(order: Any, chosen: Any) -> Any:
+        return Acknowledged() if chosen.version >= order.version else None
+
+    return [(configuration_service, "applied", applied), (configuration_service, "verdict", verdict)]
+
+
+def reads_alone() -> list[Patch]:
+    """A controller reads back what it knows itself."""
+
+    async def read(self: Any, within_s: float) -> Any:
+        return self.replica.chosen
+
+    return [(replication.Replication, "read", read)]
+
+
+def unchosen_in_force() -> list[Patch]:
+    """What is accepted counts as chosen: gateways are told of it."""
+    real = replica.Replica.accept
+
+    async def accept(self: replica.Replica, proposal: Any) -> bool:
+        done = await real(self, proposal)
+        if done:
+            self.learn_ballot(proposal.ballot)
+        return done
+
+    return [(replica.Replica, "accept", accept)]
+
+
+def cut_off_serves() -> list[Patch]:
+    """A controller that hears no majority goes on as if it did."""
+    return [(peers.Peers, "majority_in_touch", lambda self, members, own: True)]
+
+
+def taken_is_refused() -> list[Patch]:
+    """An order whose number is taken is refused, be it the same one sent again."""
+    real = configuration_service.verdict
+
+    def verdict(order: Any, chosen: Any) -> Any:
+        told = real(order, chosen)
+        if chosen.version.number > order.version.number:
+            return Rejected(configuration_service.CONFLICT, "generation", "older than what is in force")
+        return told
+
+    return [(configuration_service, "verdict", verdict)]
+
+
+def confirmed_once_accepted() -> list[Patch]:
+    """An order is confirmed once its own controller has accepted it."""
+    real = replication.Replication.accept_at
+
+    async def accept_at(self: replication.Replication, current: Any, address: str) -> None:
+        await real(self, current, address)
+        if address == self.peers.own and current.phase is consensus.Phase.ACCEPT:
+            current.phase = consensus.Phase.CHOSEN
+
+    return [(replication.Replication, "accept_at", accept_at)]
+
+
+def replaced_singly() -> list[Patch]:
+    """The voters before are forgotten at once: a change needs a majority of the new ones only."""
+    real = consensus.Round.build
+
+    def build(self: consensus.Round, found: consensus.RegisterValue) -> consensus.RegisterValue:
+        return replace(real(self, found), previous=())
+
+    return [(consensus.Round, "build", build)]
+
+
+def never_caught_up() -> list[Patch]:
+    """A controller that missed a value waits for the next one."""
+
+    async def catch_up(self: Any, address: str, chosen: Any) -> None:
+        self.replica.learn_ballot(chosen)
+
+    return [(replication.Replication, "catch_up", catch_up)]
+
+
+def records_kept() -> list[Patch]:
+    """No record is ever removed."""
+    return [(record_store.RecordStore, "tidy", lambda self, *_: None)]
+
+
+def late_answer_counts() -> list[Patch]:
+    """A grant counts for the round of asking that is out, whichever it was given for."""
+    real = leases.LeaseHolder.answer
+
+    def answer(self: leases.LeaseHolder, voter: Any, ok: bool, voters: Any, began: float, now: float) -> None:
+        real(self, voter, ok, voters, self.began, now)
+
+    return [(leases.LeaseHolder, "answer", answer)]
+
+
+def lost_voter_stays() -> list[Patch]:
+    """A voter that is gone for good is never replaced."""
+    return [(membership, "LOST_PART", 1e9)]
+
+
+def half_way_left() -> list[Patch]:
+    """What a proposer left half way waits for the next order."""
+    return [(membership, "UNSETTLED_S", 1e9)]
+
+
+def ack_before_sync() -> list[Patch]:
+    """A record counts before it is synced."""
+    from stoneyoke.lab.simulation.disks import SimulatedRecordStore
+
+    return [(SimulatedRecordStore, "sync", lambda self, path: None)]
