--- a/stoneyoke/controlplane/replica.py
+++ b/stoneyoke/controlplane/replica.py
@@ -159,10 +159,18 @@
             return True
 
     async def learn(self, chosen: Accepted) -> None:
-        """A value is chosen: it is known here from now on, and kept on disk if that can be had."""
+        """A value is chosen: known here from now on, and kept on disk if that can be had."""
+        self.note_chosen(chosen)
+        await self.keep_chosen(chosen)
+
+    def note_chosen(self, chosen: Accepted) -> None:
+        """A value is chosen: known here from now on."""
         if self.chosen is None or chosen.ballot > self.chosen.ballot:
             self.chosen = chosen
             self.learned()
+
+    async def keep_chosen(self, chosen: Accepted) -> None:
+        """On this disk too, if that can be had. Nobody has to wait for it: a majority holds it already."""
         try:
             async with Waiting(self):
                 if self.acceptor.lacks(chosen):
--- a/stoneyoke/controlplane/replication.py
+++ b/stoneyoke/controlplane/replication.py
@@ -87,7 +87,7 @@
             self.counter = max(self.counter, current.highest.counter)
             return None
         chosen = current.chosen()
-        await self.replica.learn(chosen)
+        self.learn(chosen)
         self.tell_chosen(chosen.ballot)
         return chosen
 
@@ -156,6 +156,11 @@
         except PeerUnreachable:
             return None
 
+    def learn(self, chosen: Accepted) -> None:
+        """Known here at once; this disk may be slow, or stand still, and nobody waits for it."""
+        self.replica.note_chosen(chosen)
+        self.spawn(self.replica.keep_chosen(chosen))
+
     def tell_chosen(self, ballot: Ballot) -> None:
         """Voters and learners hear of it at once; who does not hears it with the next pull."""
         notice = ChosenNotice(self.peers.own, ballot_row(ballot))
@@ -173,7 +178,7 @@
                 chosen = await self.query()
                 if chosen is None:
                     return await self.propose(unchanged, within_s)
-                await self.replica.learn(chosen)
+                self.learn(chosen)
                 return chosen
         except TimeoutError:
             return None
@@ -271,4 +276,4 @@
     async def catch_up(self, address: str, chosen: Ballot) -> None:
         """Another controller knows a value to be chosen: this one learns it, whole, however many there were between."""
         if not self.replica.learn_ballot(chosen) and (value := await self.fetch(address, chosen)):
-            await self.replica.learn(value)
+            self.learn(value)
--- a/tests/system/test_controller.py
+++ b/tests/system/test_controller.py
@@ -429,3 +429,28 @@
         await cluster.until(again.replica.votes)
 
     run(play)
+
+
+@test("a controller whose disk stands still acknowledges by the others' disks, and stays in touch")
+def _():
+    async def play(cluster):
+        await touch(cluster)
+        one = cluster.controllers["10.0.0.1"]
+        assert await one.call(put(5)) == Acknowledged()
+        stalled = asyncio.Event()
+
+        async def stands_still(work, *args):
+            await stalled.wait()
+            return work(*args)
+
+        usual, one.blocking = one.blocking, stands_still
+        for number in (6, 7, 8):
+            assert await one.call(put(number)) == Acknowledged()
+        assert await one.call(ReadConfiguration()) == Document(example(8))
+        await asyncio.sleep(5)
+        assert one.in_touch() and cluster.disks["10.0.0.1"].records["register"][b"body"] == example(5)
+        one.blocking = usual
+        stalled.set()
+        await cluster.until(lambda: cluster.disks["10.0.0.1"].records["register"][b"body"] == example(8))
+
+    run(play)
--- a/tests/system/test_controlplane.py
+++ b/tests/system/test_controlplane.py
@@ -19,6 +19,7 @@
     register_record,
 )
 from stoneyoke.controlplane.voter_set import MemberReport, next_members
+from stoneyoke.lab.simulation.seeded_defects import seeded
 
 A, B, C, D, E = (ReplicaId(name, "first") for name in "abcde")
 LOST_S = 2.0
@@ -136,6 +137,32 @@
     assert STOP < 1
 
 
+def late_release_changes_nothing():
+    """A release of an older round comes after a newer grant: the grant stands."""
+    granter = LeaseGranter(0.0, True)
+    granter.ask("quotas", "a", "life", TTL_S, 1.0, 2)
+    granter.ask("quotas", "a", "life", 0.0, 1.1, 1)
+    return not granter.ask("quotas", "b", "other", TTL_S, 1.2, 1)[0]
+
+
+def restarted_voter_waits():
+    """It may have granted in the life before: it grants nothing until that has run out."""
+    granter = LeaseGranter(0.0, False)
+    early = granter.ask("quotas", "b", "other", TTL_S, 0.9 * TTL_S, 1)[0]
+    return not early and granter.ask("quotas", "b", "other", TTL_S, TTL_S, 1)[0]
+
+
+@test("a late release and a restart free no lease that still runs; each defect of these is seen")
+def _():
+    for holds, defect in (
+        (late_release_changes_nothing, "gives_back_late"),
+        (restarted_voter_waits, "grants_after_start"),
+    ):
+        assert holds()
+        with seeded(defect):
+            assert not holds(), defect
+
+
 def row(instance="i-1", seq=1, phase=Phase.READY, address="10.0.0.1:80", service="tide"):
     return Row(instance, address, service, "east", "v1", 2, int(phase), seq, 0.0)
 
