--- a/stoneyoke/lab/simulation/exhaustive/checks.py
+++ b/stoneyoke/lab/simulation/exhaustive/checks.py
@@ -73,6 +73,8 @@
             return f"two values chosen under one ballot: {told(earlier)}; {told(later)}"
         at = later.ballot
         while at > earlier.ballot and at in parents:
+            if parents[at] >= at:  # and a check that went on would not end
+                return f"a ballot used twice: {at.counter}{at.proposer}"
             at = parents[at]
         if at != earlier.ballot:
             return f"chosen past each other: {told(earlier)}; {told(later)}"
