--- a/tests/system/test_hard_days.py
+++ b/tests/system/test_hard_days.py
@@ -68,7 +68,7 @@
     "copies_short": "cut_off_for_20_s",
     "pull_from_one": "cut_off_for_20_s",
     "quorum_short": "two_frozen_in_turn",
-    "reads_alone": "two_frozen_in_turn",
+    "reads_alone": "frozen_in_each_step_got",
     # 2: one number, two contents; sent again
     "highest_digest_wins": "eight_contents_at_once",
     "taken_is_refused": "eight_orders_at_once",
