Metrics: both programs serve their figures as text; clients that left are counted

New: counts of clients that left with and without an attempt in flight, and a gauge of attempts whose client has gone.

--- a/stoneyoke/controlplane/controller.py
+++ b/stoneyoke/controlplane/controller.py
@@ -28,7 +28,7 @@
 from stoneyoke.controlplane.pull_service import PullService
 from stoneyoke.controlplane.quota_lease import QuotaLease
 from stoneyoke.controlplane.settings import ControllerEnvironment, ControllerSettings
-from stoneyoke.controlplane.status import StatusSources, status_json
+from stoneyoke.controlplane.status import StatusSources, status_gauges, status_json
 from stoneyoke.transport.messages import Message
 
 INCARNATION_BITS = 48
@@ -204,7 +204,14 @@
 
     def status(self) -> bytes:
         """The status report as JSON."""
-        sources = StatusSources(
+        return status_json(self._status_sources(), self.clock())
+
+    def gauges(self) -> dict[str, float]:
+        """The status report's figures by name."""
+        return status_gauges(self._status_sources(), self.clock())
+
+    def _status_sources(self) -> StatusSources:
+        return StatusSources(
             name=self.settings.name,
             cluster=self.cluster,
             replica=self.replica,
@@ -213,4 +220,3 @@
             gateways=self.gateways,
             registry=self.discovery.registry,
         )
-        return status_json(sources, self.clock())
--- a/stoneyoke/controlplane/status.py
+++ b/stoneyoke/controlplane/status.py
@@ -122,6 +122,27 @@
     )
 
 
+def status_gauges(sources: StatusSources, now: float) -> dict[str, float]:
+    """The report's figures as gauges: what is counted, and how long the longest silence of a controller lasts."""
+    report = read_status(sources, now)
+    phases = [backend["phase"] for backend in report["backends"].values()]
+    silences = [controller["silent_s"] for controller in report["controllers"].values()]
+    return {
+        "has_quorum": float(report["has_quorum"]),
+        "votes": float(report["votes"]),
+        "holds_quota_lease": float(sources.lease.is_held()),
+        "configuration_version": float(sources.replica.version().number),
+        "ballot_promised": float(report["ballot"]["promised"]),
+        "voters": float(len(report["voters"]["members"])),
+        "controllers_known": float(len(silences)),
+        "controller_silence_seconds_max": max(silences, default=0.0),
+        "gateways_known": float(len(report["gateways"])),
+        "gateways_ready": float(sum(gateway["ready"] for gateway in report["gateways"].values())),
+        "backend_instances": float(len(phases)),
+        "backend_instances_ready": float(phases.count(Phase.READY.name.lower())),
+    }
+
+
 def _ballot_status(replica: Replica) -> BallotStatus:
     view, chosen = replica.view(), replica.chosen
     return BallotStatus(
--- a/stoneyoke/lab/cluster/processes.py
+++ b/stoneyoke/lab/cluster/processes.py
@@ -12,7 +12,7 @@
 
 CONTROLLER_COUNT = 3
 PEER_PORT = 7340
-CONTROL_PORT, FRONT_PORT, READY_PORT = 8783, 8782, 8789
+CONTROL_PORT, FRONT_PORT, READY_PORT, METRICS_PORT = 8783, 8782, 8789, 9464
 HEARTBEAT_S = 0.5
 BOUND_SET = "drain_s = 2.5\ngrace_s = 4.0\nretry_slack = 50.0\n"
 CONFIGURATION_RETRY_S = 0.1
@@ -68,7 +68,11 @@
         """Starts a process, without waiting for it to be ready."""
         program = "controller" if name in self.controllers else "gateway"
         self.running[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", f"stoneyoke.programs.{program}", f"--settings={self.write_settings(name)}"
+            sys.executable,
+            "-m",
+            f"stoneyoke.programs.{program}",
+            f"--settings={self.write_settings(name)}",
+            f"--metrics_port={METRICS_PORT}",
         )
         self._ever_started.add(name)
 
--- a/stoneyoke/programs/controller.py
+++ b/stoneyoke/programs/controller.py
@@ -3,6 +3,7 @@
 import asyncio
 import signal
 import sys
+import time
 
 from absl import app, flags
 from loguru import logger
@@ -11,7 +12,10 @@
 from stoneyoke.controlplane.http_api import HttpApi
 from stoneyoke.controlplane.settings import ControllerEnvironment, ControllerSettings
 from stoneyoke.programs.log_buffer import LogBuffer, set_up
+from stoneyoke.programs.metrics_server import METRICS_PORT, MetricsServer
 from stoneyoke.programs.settings import BadSettings, Settings, read_settings
+from stoneyoke.runtime.metrics import Metrics
+from stoneyoke.runtime.metrics_text import metrics_text
 from stoneyoke.storage.record_store import RecordStore
 from stoneyoke.transport.peer_server import PeerServer
 
@@ -61,6 +65,7 @@
     await controller.start()
     await peer_server.open((settings.ip, settings.port))
     await http_api.open(settings.control_address)
+    await MetricsServer(lambda: figures(controller)).open((settings.ip, METRICS_PORT.value))
     logger.info(
         "Controller {} serves; the cluster has {} voters", settings.name, len(controller.replica.voters().members)
     )
@@ -71,6 +76,11 @@
     peer_server.close()
 
 
+def figures(controller: Controller) -> str:
+    """What the controller holds now, as text. It counts no events of its own yet."""
+    return metrics_text(Metrics(), controller.gauges() | {"process_cpu_seconds": time.process_time()})
+
+
 def run(_: list[str]) -> None:
     """Runs the program; absl calls it with the command line's words."""
     log_buffer = set_up()
--- a/stoneyoke/programs/gateway.py
+++ b/stoneyoke/programs/gateway.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+import time
 
 from absl import app, flags
 from loguru import logger
@@ -23,9 +24,11 @@
 from stoneyoke.net.message_writer import status_line, write_message
 from stoneyoke.net.stream import StreamProtocol
 from stoneyoke.programs.log_buffer import LogBuffer, set_up
+from stoneyoke.programs.metrics_server import METRICS_PORT, MetricsServer
 from stoneyoke.programs.settings import BadSettings, Settings, read_settings
 from stoneyoke.runtime.clock import Clock
 from stoneyoke.runtime.metrics import Metrics
+from stoneyoke.runtime.metrics_text import metrics_text
 
 SETTINGS = flags.DEFINE_string("settings", None, "The settings file; else the one that the environment names.")
 CONNECT_TIMEOUT_US = 300_000
@@ -158,6 +161,7 @@
         ready = await loop.create_server(lambda: StreamProtocol(self.serve_readiness), *self.ready_at, backlog=64)
         listener = socket.create_server(self.front_at)
         front = await loop.create_server(self.front.make_protocol, sock=listener, backlog=256)
+        await MetricsServer(self.figures).open((self.settings.ip, METRICS_PORT.value))
         tasks = [loop.create_task(self.sweep()), *self.control_client.start()]
         gc.collect()
         gc.freeze()
@@ -170,6 +174,21 @@
         self.control_client.config_sync.close()
         logger.info("counts: {}", self.metrics.summary())
 
+    def figures(self) -> str:
+        """The counters and what the gateway holds now, as text."""
+        runtimes = [upstream.runtime for upstream in self.upstreams.upstreams.values()]
+        gauges = {
+            "ready": float(self.control_client.config_sync.ready and not self.draining),
+            "configuration_version": float(self.front.table.version.number if self.front.table else 0),
+            "client_connections_open": float(len(self.front.connections.open)),
+            "requests_in_flight": float(sum(len(runtime.pending) for runtime in runtimes)),
+            "attempts_in_flight": float(sum(pool.busy for pool in self.backends.pools.values())),
+            "attempts_of_clients_gone": float(sum(runtime.orphaned_attempts() for runtime in runtimes)),
+            "backend_instances": float(len(self.upstreams.instances)),
+            "process_cpu_seconds": time.process_time(),
+        }
+        return metrics_text(self.metrics, gauges)
+
     def report(self, log_buffer: LogBuffer) -> None:
         """Writes the counters and all buffered log lines, for SIGUSR1."""
         logger.info("counts: {}", self.metrics.summary())
--- /dev/null
+++ b/stoneyoke/programs/metrics_server.py
@@ -0,0 +1,69 @@
+"""Serves a program's figures over HTTP: one small listener beside the program's own."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import flags
+from loguru import logger
+
+from stoneyoke.net.errors import MalformedMessage
+from stoneyoke.net.message_reader import MessageReader
+from stoneyoke.net.message_writer import status_line, write_message
+from stoneyoke.net.stream import StreamProtocol
+from stoneyoke.runtime.metrics_text import CONTENT_TYPE
+
+METRICS_PORT = flags.DEFINE_integer(
+    "metrics_port", 0, "Where the figures are served as text; 0: nowhere.", lower_bound=0, upper_bound=65_535
+)
+METRICS_TARGET = b"/metrics"
+BACKLOG = 16
+IDLE_TIMEOUT_S = 10.0
+
+
+class MetricsServer:
+    """Answers GET /metrics with the program's figures, as they are at that moment."""
+
+    def __init__(self, render: Callable[[], str]) -> None:
+        """Does not listen yet.
+
+        Args:
+            render: Gives all figures as text.
+        """
+        self.render = render
+
+    async def open(self, address: tuple[str, int]) -> None:
+        """Listens at an IP address and port; port 0 opens nothing. An address that can't be had costs the figures only.
+
+        The process itself serves on without them: it must not fail for the sake of being looked at.
+        """
+        if not address[1]:
+            return
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_server(lambda: StreamProtocol(self.serve), *address, backlog=BACKLOG)
+        except OSError as error:
+            logger.warning("metrics: {}:{} can't be opened, no figures are served: {}", *address, error)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one connection until it ends, is idle for too long, or sends what is not HTTP."""
+        messages = MessageReader(reader, responses=False)
+        try:
+            keep_alive = True
+            while keep_alive:
+                async with asyncio.timeout(IDLE_TIMEOUT_S):
+                    message = await messages.next()
+                if message is None:
+                    break
+                keep_alive = message.keep_alive
+                self.respond(writer, message.target)
+        except (OSError, MalformedMessage):  # a TimeoutError is an OSError
+            pass
+        finally:
+            writer.close()
+
+    def respond(self, writer: asyncio.StreamWriter, target: bytes) -> None:
+        """Writes the figures, or 404 for any other target."""
+        found = target.partition(b"?")[0] == METRICS_TARGET
+        body = self.render().encode() if found else b"no such path\n"
+        headers = b"Content-Type: %s\r\nContent-Length: %d\r\n" % (CONTENT_TYPE.encode(), len(body))
+        write_message(writer, [status_line(200 if found else 404), headers], body)
--- a/stoneyoke/runtime/pending_request.py
+++ b/stoneyoke/runtime/pending_request.py
@@ -84,6 +84,10 @@
                 return None
         return self.decisions.popleft() if self.decisions and not self.client_gone else None
 
+    def has_attempt(self) -> bool:
+        """Whether an attempt is under way."""
+        return self.cancel_attempt is not None
+
     def decide(self, decision: Decision) -> None:
         """Adds a decision and wakes the front if it waits for one."""
         self.decisions.append(decision)
--- a/stoneyoke/runtime/runtime.py
+++ b/stoneyoke/runtime/runtime.py
@@ -39,6 +39,8 @@
 
 STALL_US = 100_000  # a timer this late means that the process was stalled; a busy event loop is late by 20 ms
 STALL_RECOVERY_US = 50_000  # connections that were made during a stall are accepted within this time after it
+CLIENT_GONE_IN_ATTEMPT = "clients gone: while an attempt was in flight"
+CLIENT_GONE_BETWEEN_ATTEMPTS = "clients gone: while no attempt was in flight"
 CATCH_UP_TURNS = 8  # of the event loop: the longest endpoint list, 64 KiB, is read in four
 
 
@@ -167,9 +169,14 @@
         """Reports once to the decision logic that the client has closed its connection."""
         if not request.client_gone:
             request.client_gone = True
+            self.metrics.add(CLIENT_GONE_IN_ATTEMPT if request.has_attempt() else CLIENT_GONE_BETWEEN_ATTEMPTS)
             self.dispatch(ClientGone(request.index))
             request.wake()
 
+    def orphaned_attempts(self) -> int:
+        """How many attempts are in flight now whose client has gone."""
+        return sum(request.client_gone and request.has_attempt() for request in self.pending.values())
+
     def close_request(self, request: PendingRequest) -> None:
         """Ends a request whose response is decided, or for whose response nobody waits.
 
