--- /dev/null
+++ b/tests/system/holding_backend.py
@@ -0,0 +1,82 @@
+"""A backend that holds each request until the test releases it, and notices at once when a connection ends."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+
+from gateway_fixture import HOST, Head, ScriptedBackend, ok, read_head
+
+
+class HoldingBackend(ScriptedBackend):
+    """Begins to run each request, and drops the run when the connection closes, as most backends do.
+
+    `requests` keeps what came whole. `cut` and `finished` keep the attempt ids of runs by how they ended.
+    """
+
+    def __init__(self, answer: Callable[[Head], bytes] = ok, first_part: bytes = b"") -> None:
+        """`first_part` is written when a run begins: an answer that has begun and stalls."""
+        super().__init__()
+        self.answer, self.first_part = answer, first_part
+        self.released = asyncio.Event()
+        self.cut: list[bytes] = []
+        self.finished: list[bytes] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                request = await read_head(reader)
+                request["body"] = await reader.readexactly(int(request.get("content-length", b"0")))
+                self.requests.append(request)
+                writer.write(self.first_part)
+                if await self.is_cut(reader):
+                    self.cut.append(request["attempt-id"])
+                    return
+                writer.write(self.answer(request))
+                self.finished.append(request["attempt-id"])
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def is_cut(self, reader: asyncio.StreamReader) -> bool:
+        """Waits for the release or the connection's end, whichever comes first; true for the end."""
+        released = asyncio.ensure_future(self.released.wait())
+        ended = asyncio.ensure_future(reader.read(1))
+        done, pending = await asyncio.wait((released, ended), return_when=asyncio.FIRST_COMPLETED)
+        for waiting in pending:
+            waiting.cancel()
+        return released not in done
+
+
+class LeavingClient:
+    """A client's socket that the test ends as it likes. `attempt_id` is of the last request that it sent."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection((HOST, port))
+        self.sent = 0
+        self.attempt_id = b""
+
+    def send(self, path: bytes = b"/a/b/x", host: bytes = b"one.example", body: bytes = b"order") -> bytes:
+        """Sends one request and returns its attempt id."""
+        self.sent += 1
+        self.attempt_id = b"left-%d-%d" % (self.socket.getsockname()[1], self.sent)
+        self.socket.sendall(
+            b"POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nApi-Key: key-a\r\n"
+            b"Content-Length: %d\r\n\r\n%s" % (path, host, self.attempt_id, len(body), body)
+        )
+        return self.attempt_id
+
+    def close(self) -> None:
+        """FIN: closes its socket."""
+        self.socket.close()
+
+    def half_close(self) -> None:
+        """FIN: ends its sending, and could still read."""
+        self.socket.shutdown(socket.SHUT_WR)
+
+    def reset(self) -> None:
+        """RST."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
