--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -102,7 +102,8 @@
             request: What is sent.
         """
         pool = self.pools.get(backend)
-        if pool is None or self.clock.now() >= request.deadline_us:
+        awaited = self.metrics.check_invariant(not pending.client_gone, "attempt started for a client that has gone")
+        if pool is None or self.clock.now() >= request.deadline_us or not awaited:
             return AttemptResult(AttemptOutcome.NOT_SENT, None)
         attempt, response = Attempt(pool), None
         time_limit = asyncio.timeout_at(self.clock.loop_time(request.deadline_us))
--- a/stoneyoke/programs/gateway.py
+++ b/stoneyoke/programs/gateway.py
@@ -148,6 +148,8 @@
             self.front.connections.close_expired()
             self.instance_directory.sweep(self.control_client.clock())
             self.upstreams.refresh()
+            for upstream in self.upstreams.upstreams.values():
+                upstream.runtime.departures.sweep()
             if sweeps % 4 == 0 and self.read_stamp() != self.settings_stamp:
                 self.reload()
 
@@ -184,6 +186,8 @@
             "requests_in_flight": float(sum(len(runtime.pending) for runtime in runtimes)),
             "attempts_in_flight": float(sum(pool.busy for pool in self.backends.pools.values())),
             "attempts_of_clients_gone": float(sum(runtime.orphaned_attempts() for runtime in runtimes)),
+            "descriptors_in_use": float(self.backends.descriptor_budget.used),
+            "backend_connections_idle": float(sum(len(pool.idle) for pool in self.backends.pools.values())),
             "backend_instances": float(len(self.upstreams.instances)),
             "process_cpu_seconds": time.process_time(),
         }
--- a/stoneyoke/runtime/pending_request.py
+++ b/stoneyoke/runtime/pending_request.py
@@ -49,17 +49,29 @@
         index: The request's number within its runtime.
         owner: The runtime that opened the request.
         attempts_started: The number of attempts so far, which is the next attempt's number.
+        ends_with_client: An attempt of it ends once its client has gone, also if it was sent.
         client_gone: The client has closed its connection. There are no further decisions.
         decisions: What is decided and not yet taken by the front.
         cancel_attempt: Cancels the attempt with the given number, if that one is still under way; if the second
             argument is true, only while nothing of it was sent. None while no attempt is.
     """
 
-    __slots__ = ("attempts_started", "cancel_attempt", "client_gone", "clock", "decisions", "index", "owner", "waiter")
-
-    def __init__(self, index: int, clock: Clock, owner: RequestOwner) -> None:
+    __slots__ = (
+        "attempts_started",
+        "cancel_attempt",
+        "client_gone",
+        "clock",
+        "decisions",
+        "ends_with_client",
+        "index",
+        "owner",
+        "waiter",
+    )
+
+    def __init__(self, index: int, clock: Clock, owner: RequestOwner, *, ends_with_client: bool = False) -> None:
         """Starts with no decision and no attempt."""
         self.index, self.clock, self.owner = index, clock, owner
+        self.ends_with_client = ends_with_client
         self.attempts_started = 0
         self.client_gone = False
         self.decisions: deque[Decision] = deque()
--- a/stoneyoke/runtime/runtime.py
+++ b/stoneyoke/runtime/runtime.py
@@ -32,6 +32,7 @@
     TimerFired,
 )
 from stoneyoke.control.parameters import AttemptOutcome, GatewayParameters
+from stoneyoke.runtime.client_departures import ClientDepartures
 from stoneyoke.runtime.clock import Clock
 from stoneyoke.runtime.id_index import IdIndex
 from stoneyoke.runtime.metrics import Metrics
@@ -59,6 +60,7 @@
 
     Attributes:
         pending: The requests that are open, by index.
+        departures: Those whose client has gone during an attempt; swept by the process.
         next_timer_at: When the timer that was set last is due.
         stalled_from: When the last stall of this process began; 0 before the first.
         stalled_until: When that stall ended.
@@ -72,6 +74,7 @@
         self.gateway = Gateway(parameters, clock.now())
         self.pending: dict[int, PendingRequest] = {}
         self.requests_opened = 0
+        self.departures = ClientDepartures(metrics)
         self.customers = IdIndex[int]()  # released by ForgetCustomer
         self.next_timer_at = self.gateway.context.born_at
         self.stalled_from = self.stalled_until = 0
@@ -134,7 +137,11 @@
             deadline_us: Until when its client waits for the response.
         """
         self.requests_opened += 1
-        request = self.pending[self.requests_opened] = PendingRequest(self.requests_opened, self.clock, self)
+        parameters = self.gateway.parameters
+        # Stated here once more, apart from the decision that it checks (RetryPolicy.ends_with_client).
+        ends_with_client = parameters.can_cancel_attempts and parameters.methods[description.method].is_idempotent
+        request = PendingRequest(self.requests_opened, self.clock, self, ends_with_client=ends_with_client)
+        self.pending[request.index] = request
         self.dispatch(
             Arrival(
                 rpc=request.index,
@@ -171,6 +178,7 @@
             request.client_gone = True
             self.metrics.add(CLIENT_GONE_IN_ATTEMPT if request.has_attempt() else CLIENT_GONE_BETWEEN_ATTEMPTS)
             self.dispatch(ClientGone(request.index))
+            self.departures.client_gone(request)
             request.wake()
 
     def orphaned_attempts(self) -> int:
@@ -189,6 +197,7 @@
                 request.attempts_started += 1
                 self.attempt_ended(request, attempt, decision.backend, AttemptOutcome.NOT_SENT)
         self.pending.pop(request.index, None)
+        self.departures.request_closed(request)
         self.metrics.check_invariant(
             request.client_gone or not self.gateway.holds(request.index),
             "request closed while the decision logic holds it",
--- a/stoneyoke/single_gateway/program.py
+++ b/stoneyoke/single_gateway/program.py
@@ -180,6 +180,7 @@
             await asyncio.sleep(MAINTENANCE_S)
             self.backends.close_expired()
             self.clients.connections.close_expired()
+            self.runtime.departures.sweep()
             self.endpoints.release_unused()
 
     # ---- log ----
--- a/tests/system/holding_backend.py
+++ b/tests/system/holding_backend.py
@@ -47,6 +47,7 @@
         done, pending = await asyncio.wait((released, ended), return_when=asyncio.FIRST_COMPLETED)
         for waiting in pending:
             waiting.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
         return released not in done
 
 
--- a/tests/system/test_upstream_attempts.py
+++ b/tests/system/test_upstream_attempts.py
@@ -188,9 +188,9 @@
     request.start([b"POST / HTTP/1.1\r\n"], b"order")
     attempt = Attempt(BackendPool(("127.0.0.1", 1)))
     attempt.request = request
-    attempt.cancelled = True  # with every byte still here
+    attempt.cancelled_as = AttemptOutcome.CANCELLED  # with every byte still here
     assert attempt.failure_outcome(TimeoutError(), deadline_passed=True) is AttemptOutcome.NOT_SENT
-    attempt.cancelled = False
+    attempt.cancelled_as = None
     try:
         await request.finish()  # it ends without an error, as a transport does that was closed from this side
         raise AssertionError("a request that was not written whole passes for one that was")
