The soak: real processes under overlapping faults from a seed, judged by a ledger

Change: `python -m stoneyoke.lab.soak` starts three controllers and three gateways, with clients, stand-in backends and links in the process that judges. A seed gives a schedule of episodes, two or three faults in each that overlap: kills, SIGTERM, SIGSTOP, silent, slow, refusing and reset links, lost and stalled answers, clients that leave (close, half-close, reset, with and without unread input behind). The ledger judges GONE, BROKEN OFF, LOST, TWICE, REFUSED, MIXED, UNASKED, CONFIG at each controller, what a gateway holds at the end, violated invariants and processes that end by themselves; a disturbance excuses only what it can explain. A red seed keeps schedule, ledger and logs. Processes of the cluster run with -O, as release builds.

--- a/stoneyoke/lab/cluster/client.py
+++ b/stoneyoke/lab/cluster/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from typing import NamedTuple
 
 from stoneyoke.lab.cluster.processes import FRONT_PORT, ClusterProcesses
 from stoneyoke.lab.cluster.requests import (
@@ -23,6 +24,14 @@
 ORDER_SHARE = 0.2  # of all requests
 
 
+class ClientRequest(NamedTuple):
+    """One try: its id, its request line and headers without Content-Length, and its body."""
+
+    attempt_id: str
+    head: bytes
+    body: bytes
+
+
 class Client:
     """Sends requests and notes their responses. Each try has an attempt id of its own."""
 
@@ -59,7 +68,7 @@
     async def _send_with_retries(self, is_order: bool) -> None:
         """Sends one request. An order is sent again only if its rejection proves that it has not run."""
         for _ in range(MAX_TRIES):
-            status = await self._send_once(is_order)
+            status = await self.send_once(is_order)
             if status == OK:
                 self.served += 1
                 return
@@ -68,12 +77,19 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         self.given_up += 1
 
-    async def _send_once(self, is_order: bool) -> int:
+    async def send_once(self, is_order: bool) -> int:
         """Sends one try.
 
         Returns:
             The response's status, or NO_RESPONSE.
         """
+        request = self.make_request(is_order)
+        ip = self._random_source.choice(list(self._cluster.gateways.values()))
+        response = await send_request((ip, FRONT_PORT), request.head, request.body)
+        return self.note_response(request, response)
+
+    def make_request(self, is_order: bool, more_headers: str = "") -> ClientRequest:
+        """One try as it goes out, entered in the ledger as one without a response."""
         attempt_id = f"a{next(self._attempt_numbers)}"
         self._ledger.statuses[attempt_id] = NO_RESPONSE
         if is_order:
@@ -81,15 +97,17 @@
         method, path = ("POST", ORDER_PATH) if is_order else ("GET", READ_PATH)
         head = (
             f"{method} {path}x HTTP/1.1\r\nHost: {HOSTNAME}\r\nAttempt-Id: {attempt_id}\r\n"
-            f"Deadline-Ms: {ROUTE_TIMEOUT_S * 1000}\r\nApi-Key: {API_KEY}\r\n"
+            f"Deadline-Ms: {ROUTE_TIMEOUT_S * 1000}\r\nApi-Key: {API_KEY}\r\n{more_headers}"
         )
-        ip = self._random_source.choice(list(self._cluster.gateways.values()))
-        response = await send_request((ip, FRONT_PORT), head.encode(), b"order" if is_order else b"")
+        return ClientRequest(attempt_id, head.encode(), b"order" if is_order else b"")
+
+    def note_response(self, request: ClientRequest, response: Message | None) -> int:
+        """Enters a try's response in the ledger, and returns its status or NO_RESPONSE."""
         if response is None:
             return NO_RESPONSE
-        self._ledger.statuses[attempt_id] = response.status
+        self._ledger.statuses[request.attempt_id] = response.status
         if response.status == OK:
-            self._check_response(attempt_id, response)
+            self._check_response(request.attempt_id, response)
         return response.status
 
     def _check_response(self, attempt_id: str, response: Message) -> None:
--- a/stoneyoke/lab/cluster/processes.py
+++ b/stoneyoke/lab/cluster/processes.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import BinaryIO
 
 from stoneyoke.lab.cluster.requests import OK, example_configuration, send_request
 
@@ -22,21 +23,24 @@
 class ClusterProcesses:
     """Processes by name. Each has a settings file, and each controller a data folder."""
 
-    def __init__(self, folder: Path, gateways: int, address_block: int = 0) -> None:
+    def __init__(self, folder: Path, gateways: int, address_block: int = 0, *, keeps_logs: bool = False) -> None:
         """Starts nothing yet.
 
         Args:
             folder: Holds settings files and data folders.
             gateways: Number of gateways.
             address_block: Second part of all addresses, so that clusters beside each other don't meet.
+            keeps_logs: Log lines go to a file a process in the folder, else to this process's standard error.
         """
-        self.folder = folder
+        self.folder, self.keeps_logs = folder, keeps_logs
         self.address_block = address_block
         self.controllers = {
             f"core-{number}": f"127.{address_block}.1.{number}" for number in range(1, CONTROLLER_COUNT + 1)
         }
         self.gateways = {f"edge-{number}": f"127.{address_block}.2.{number}" for number in range(1, gateways + 1)}
         self.running: dict[str, asyncio.subprocess.Process] = {}
+        self.gateway_module = "stoneyoke.programs.gateway"
+        self.gateway_arguments: tuple[str, ...] = ()  # before the settings
         self._ever_started: set[str] = set()
 
     def control_addresses(self) -> list[tuple[str, int]]:
@@ -66,22 +70,37 @@
 
     async def start(self, name: str) -> None:
         """Starts a process, without waiting for it to be ready."""
-        program = "controller" if name in self.controllers else "gateway"
-        self.running[name] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            f"stoneyoke.programs.{program}",
+        is_controller = name in self.controllers
+        arguments = [
+            "stoneyoke.programs.controller" if is_controller else self.gateway_module,
+            *(() if is_controller else self.gateway_arguments),
             f"--settings={self.write_settings(name)}",
             f"--metrics_port={METRICS_PORT}",
-        )
+        ]
+        with self.open_log(name) as log:
+            # -O as in release builds: a violated invariant is counted, and the process goes on.
+            self.running[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", *arguments, stderr=log if self.keeps_logs else None
+            )
         self._ever_started.add(name)
 
+    def log_path(self, name: str) -> Path:
+        """Where a process's log lines go, over all its starts, if logs are kept."""
+        return self.folder / f"{name}.log"
+
+    def open_log(self, name: str) -> BinaryIO:
+        """The file that log_path() names, to be appended to."""
+        return open(self.log_path(name), "ab")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process that was started here. One that has ended gets none."""
+        with contextlib.suppress(ProcessLookupError):
+            self.running[name].send_signal(number)
+
     async def kill(self, name: str) -> None:
         """Kills a process that was started here, and waits for its end."""
-        process = self.running.pop(name)
-        with contextlib.suppress(ProcessLookupError):
-            process.send_signal(signal.SIGKILL)
-        await process.wait()
+        self.signal(name, signal.SIGKILL)
+        await self.running.pop(name).wait()
 
     async def close(self) -> None:
         """Kills every process."""
--- a/stoneyoke/lab/cluster/stand_in_backend.py
+++ b/stoneyoke/lab/cluster/stand_in_backend.py
@@ -10,6 +10,7 @@
 from stoneyoke.net.errors import MalformedMessage
 from stoneyoke.net.message_reader import Message, MessageReader
 from stoneyoke.net.message_writer import status_line, write_message
+from stoneyoke.net.stream import StreamProtocol
 
 SERVICE_PORT = 8080
 SERVICE_TIME_S = 0.03
@@ -32,21 +33,26 @@
         self.controllers = cluster.control_addresses()
         self.instance = f"i-{service}-{number}"
         self.ip = f"127.{cluster.address_block}.3.{number}"
+        self.address = f"{self.ip}:{SERVICE_PORT}"  # as its heartbeats tell it
         self.call_seq = 0  # of the heartbeats
 
     async def run(self) -> None:
         """Serves, and sends heartbeats until it is cancelled."""
-        self.server = await asyncio.start_server(self.serve, self.ip, SERVICE_PORT)
-        while True:
-            await self._send_heartbeat()
-            await asyncio.sleep(HEARTBEAT_S)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: StreamProtocol(self.serve), self.ip, SERVICE_PORT)
+        try:
+            while True:
+                await self._send_heartbeat()
+                await asyncio.sleep(HEARTBEAT_S)
+        finally:
+            self.server.close()
 
     async def _send_heartbeat(self) -> None:
         """Sends one heartbeat, at one controller after the other until one acknowledges it."""
         self.call_seq += 1
         body = json.dumps(
             {
-                "address": f"{self.ip}:{SERVICE_PORT}",
+                "address": self.address,
                 "details": {"target_service": self.service, "generation": "v1", "zone_name": "quay", "capacity": 4},
                 "observed": {"phase": "ready", "call_seq": self.call_seq, "warmup_left_s": 0},
             }
@@ -62,13 +68,14 @@
         messages = MessageReader(reader, responses=False)
         try:
             while message := await messages.next():
-                await self._respond(message, writer)
+                await self.respond(message, writer)
         except (OSError, MalformedMessage):
             pass
         finally:
             writer.close()
 
-    async def _respond(self, message: Message, writer: asyncio.StreamWriter) -> None:
+    async def respond(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        """Runs one request that is meant for this instance, and answers it."""
         attempt_id = message.headers.get(b"attempt-id", b"").decode()
         status = OK
         header = b"Server-Stamp: %s.%s\r\n" % (self.instance.encode(), attempt_id.encode())
@@ -79,6 +86,14 @@
             self.ledger.executions[attempt_id] += 1
             if message.headers.get(b"tenant") != TENANT.encode() or b"api-key" in message.headers:
                 self.ledger.report(Rule.ONLY_REQUESTED, f"{attempt_id} came with the wrong tenant or with its key")
-            await asyncio.sleep(SERVICE_TIME_S)
+            await self.work(message, writer)
         head = b"Attempt-Id: %s\r\n%sContent-Length: 3\r\n" % (attempt_id.encode(), header)
         write_message(writer, [status_line(status), head], b"ok\n")
+
+    async def work(self, message: Message, writer: asyncio.StreamWriter) -> None:  # noqa: ARG002 -- for subclasses
+        """What running a request takes.
+
+        Raises:
+            OSError: The run ends without an answer.
+        """
+        await asyncio.sleep(SERVICE_TIME_S)
--- a/stoneyoke/lab/cluster/traffic_ledger.py
+++ b/stoneyoke/lab/cluster/traffic_ledger.py
@@ -17,6 +17,12 @@
     MATCHING_RESPONSE = "MIXED"  # a response belongs to its request
     ONLY_REQUESTED = "UNASKED"  # a backend runs only what a client sent, as it was sent
     DURABLE_CONFIGURATION = "CONFIG"  # an acknowledged configuration is read back
+    ENDS_WITH_CLIENT = "GONE"  # no read runs on at a backend after its client has left
+    ORDERS_FINISH = "BROKEN OFF"  # an order's run is not broken off by the gateway
+    ANSWERED = "LOST"  # who waits gets an answer to what ran, if nothing failed
+    NOTHING_HELD = "HELD"  # a process without requests holds nothing of former ones
+    NO_VIOLATIONS = "INVARIANT"  # the running code counts no violated invariant
+    STAYS_UP = "EXIT"  # no process ends by itself
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/stoneyoke/lab/soak/__main__.py
@@ -0,0 +1,116 @@
+"""Runs the soak for one seed after the other.
+
+python -m stoneyoke.lab.soak --seeds=1-20 --seconds=14      # ends with 1 at the first seed that breaks a rule
+python -m stoneyoke.lab.soak --seeds=7 --schedule           # what a seed does, without doing it
+"""
+
+import asyncio
+import dataclasses
+import json
+import shutil
+import sys
+from pathlib import Path
+
+from absl import app, flags
+
+from stoneyoke.lab.soak.defects import DEFECTS
+from stoneyoke.lab.soak.run import Soak, SoakResult, SoakSettings
+
+SEEDS = flags.DEFINE_string("seeds", "1", "A seed, or a range such as 1-20.")
+SECONDS = flags.DEFINE_float("seconds", 14.0, "How long traffic lasts for each seed.", lower_bound=1, upper_bound=600)
+GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=2, upper_bound=20)
+RATE = flags.DEFINE_float("rate", 40.0, "Requests a second.", lower_bound=1, upper_bound=200)
+OUT = flags.DEFINE_string("out", "runs", "The folder that keeps the schedule, the ledger and all logs of a red seed.")
+DEFECT = flags.DEFINE_enum("defect", "", ["", *DEFECTS], "A defect to put into the gateways: the soak has to find it.")
+KEEP_GOING = flags.DEFINE_bool("keep_going", False, "Go on after a seed that breaks a rule.")
+SCHEDULE = flags.DEFINE_bool("schedule", False, "Print each seed's schedule, and run nothing.")
+FIRST_BLOCK, BLOCKS = 100, 150  # of addresses: soaks of neighbouring seeds may run beside each other
+PRINTED_MAX = 20
+EXIT_RED, EXIT_NOT_RUN = 1, 2
+
+
+def parse_seeds(text: str) -> range:
+    """The seeds of "7" or "1-20".
+
+    Raises:
+        ValueError: The text is neither.
+    """
+    first, _, last = text.partition("-")
+    return range(int(first), int(last or first) + 1)
+
+
+def settings_of(seed: int) -> SoakSettings:
+    """The soak of one seed, by the command line."""
+    return SoakSettings(
+        seed=seed,
+        seconds=SECONDS.value,
+        gateways=GATEWAYS.value,
+        rate_per_s=RATE.value,
+        address_block=FIRST_BLOCK + seed % BLOCKS,
+        defect=DEFECT.value,
+    )
+
+
+def write_result(result: SoakResult, folder: Path) -> None:
+    """Keeps a red seed's schedule, violations and ledger beside its logs."""
+    (folder / "schedule.txt").write_text("".join(f"{fault}\n" for fault in result.schedule))
+    (folder / "violations.txt").write_text("".join(f"{violation}\n" for violation in result.violations))
+    ledger = result.ledger
+    rows = {
+        "tries": {attempt_id: dataclasses.asdict(one) for attempt_id, one in ledger.tries.items()},
+        "statuses": ledger.statuses,
+        "orders": sorted(ledger.orders),
+        "runs": [dataclasses.asdict(run) | {"end": run.end.value} for run in ledger.runs],
+        "disturbances": [dataclasses.asdict(one) for one in ledger.disturbances],
+    }
+    (folder / "ledger.json").write_text(json.dumps(rows, indent=1))
+
+
+def run_seed(seed: int) -> bool:
+    """Runs one seed, says what came of it, and returns whether all rules held."""
+    folder = Path(OUT.value) / f"soak-{seed}"
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    try:
+        result = asyncio.run(Soak(settings_of(seed), folder).run())
+    except OSError as error:  # an address, most likely: a soak of the same seed, or of one BLOCKS away
+        print(f"seed {seed}: not run: {error}", file=sys.stderr)
+        sys.exit(EXIT_NOT_RUN)
+    print(f"seed {seed}: {result}", flush=True)
+    for violation in result.violations[:PRINTED_MAX]:
+        print(f"  {violation}", flush=True)
+    if result.violations:
+        write_result(result, folder)
+        print(f"  kept in {folder}; again: --seeds={seed} --seconds={SECONDS.value:g}", flush=True)
+    else:
+        shutil.rmtree(folder)
+    return not result.violations
+
+
+def run(_: list[str]) -> None:
+    """Runs all seeds, or prints their schedules."""
+    try:
+        seeds = parse_seeds(SEEDS.value)
+    except ValueError:
+        raise app.UsageError(f"--seeds: {SEEDS.value!r} is neither a seed nor a range of seeds") from None
+    if SCHEDULE.value:
+        for seed in seeds:
+            print(f"seed {seed}", *Soak(settings_of(seed), Path(OUT.value)).schedule(), sep="\n")
+        return
+    red: list[int] = []
+    for seed in seeds:
+        if not run_seed(seed):
+            red.append(seed)
+            if not KEEP_GOING.value:
+                break
+    print(f"seeds that broke a rule: {', '.join(map(str, red)) or 'none'}")
+    sys.exit(EXIT_RED if red else 0)
+
+
+def main() -> None:
+    """Parses the command line and runs."""
+    app.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/stoneyoke/lab/soak/faults.py
@@ -0,0 +1,131 @@
+"""Carries out a schedule: signals to processes, conditions of links, moods of backends and clients."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+
+from stoneyoke.lab.cluster.processes import ClusterProcesses
+from stoneyoke.lab.cluster.traffic_ledger import Rule
+from stoneyoke.lab.links import Link
+from stoneyoke.lab.scenario import Fault
+from stoneyoke.lab.soak.backend import SoakBackend
+from stoneyoke.lab.soak.client import USUAL_LEAVE_SHARE, WAVE_LEAVE_SHARE, SoakClient
+from stoneyoke.lab.soak.ledger import Disturbance, SoakLedger
+from stoneyoke.lab.soak.schedule import LINK_FAULTS, FaultKind, ScheduledFault
+
+DELAY_MS, JITTER_MS = 250.0, 150.0
+GRACE_S = 4.0  # of the cluster's settings: from SIGTERM to the end
+GRACE_MARGIN_S = 2.0  # for a machine that many processes share
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FaultTargets:
+    """Whom faults strike."""
+
+    cluster: ClusterProcesses
+    client: SoakClient
+    links: Mapping[str, Link]
+    backends: Mapping[str, SoakBackend]
+
+
+class FaultInjector:
+    """Begins and ends the faults of a schedule, and notes in the ledger what was disturbed meanwhile."""
+
+    def __init__(self, targets: FaultTargets, ledger: SoakLedger) -> None:
+        """Does nothing yet."""
+        self.targets, self.ledger = targets, ledger
+        self.loop = asyncio.get_running_loop()
+        self.down: set[str] = set()  # processes that are down on purpose
+
+    async def run(self, schedule: tuple[ScheduledFault, ...]) -> None:
+        """Carries out a schedule from now on, and returns once all of it is undone."""
+        start_s = self.loop.time()
+        async with asyncio.TaskGroup() as faults:
+            for fault in schedule:
+                faults.create_task(self.strike(fault, start_s + fault.at_s), name=str(fault))
+
+    async def strike(self, fault: ScheduledFault, at_s: float) -> None:
+        """One fault, from its time until it is undone."""
+        await asyncio.sleep(at_s - self.loop.time())
+        from_s = self.loop.time()
+        if fault.kind in LINK_FAULTS:
+            await self.disturb_link(fault)
+        else:
+            effect: Callable[[ScheduledFault], Awaitable[None]] = {
+                FaultKind.KILL: self.kill,
+                FaultKind.TERMINATE: self.terminate,
+                FaultKind.PAUSE: self.pause,
+                FaultKind.LOSE_ANSWERS: self.lose_answers,
+                FaultKind.STALL: self.stall,
+                FaultKind.LEAVE: self.make_clients_leave,
+            }[fault.kind]
+            await effect(fault)
+        # A planned end excuses nothing: a process that is told to end lets finish what it has begun.
+        if fault.target and fault.kind is not FaultKind.TERMINATE:
+            self.ledger.disturbances.append(Disturbance(fault.target, from_s, self.loop.time()))
+
+    # ---- processes ----
+
+    async def kill(self, fault: ScheduledFault) -> None:
+        """Kills a process, and starts it again after a while."""
+        self.down.add(fault.target)
+        await self.targets.cluster.kill(fault.target)
+        await asyncio.sleep(fault.for_s)
+        await self.start_again(fault.target)
+
+    async def terminate(self, fault: ScheduledFault) -> None:
+        """Tells a process to end, and starts it again. One that does not end in its grace period breaks a rule."""
+        cluster, name = self.targets.cluster, fault.target
+        self.down.add(name)
+        cluster.signal(name, signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S + GRACE_MARGIN_S):
+                await cluster.running[name].wait()
+        except TimeoutError:
+            self.ledger.report(Rule.STAYS_UP, f"{name} has not ended {GRACE_S + GRACE_MARGIN_S} s after SIGTERM")
+        await cluster.kill(name)
+        await asyncio.sleep(fault.for_s)
+        await self.start_again(name)
+
+    async def start_again(self, name: str) -> None:
+        """Starts a process that was ended on purpose."""
+        await self.targets.cluster.start(name)
+        self.down.discard(name)
+
+    async def pause(self, fault: ScheduledFault) -> None:
+        """Stops a process for a while: it does nothing, and its connections stay open."""
+        self.targets.cluster.signal(fault.target, signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        self.targets.cluster.signal(fault.target, signal.SIGCONT)
+
+    # ---- links, backends, clients ----
+
+    async def disturb_link(self, fault: ScheduledFault) -> None:
+        """Puts a condition on a link, and takes it away after a while."""
+        link = self.targets.links[fault.target]
+        condition = Fault(at_s=fault.at_s, kind=fault.kind.value, for_s=fault.for_s, ms=DELAY_MS, jitter_ms=JITTER_MS)
+        link.change_fault(fault.number, condition, True)
+        if fault.kind is not FaultKind.RESET:
+            await asyncio.sleep(fault.for_s)
+            link.change_fault(fault.number, condition, False)
+
+    async def lose_answers(self, fault: ScheduledFault) -> None:
+        """Lets a backend lose the answers to what it runs, for a while."""
+        backend = self.targets.backends[fault.target]
+        backend.loses_answers = True
+        await asyncio.sleep(fault.for_s)
+        backend.loses_answers = False
+
+    async def stall(self, fault: ScheduledFault) -> None:
+        """Lets a backend hold back the rest of its answers, for a while."""
+        backend = self.targets.backends[fault.target]
+        backend.stalls = True
+        await asyncio.sleep(fault.for_s)
+        backend.stalls = False
+
+    async def make_clients_leave(self, fault: ScheduledFault) -> None:
+        """Lets most clients leave early, for a while."""
+        self.targets.client.leave_share = WAVE_LEAVE_SHARE
+        await asyncio.sleep(fault.for_s)
+        self.targets.client.leave_share = USUAL_LEAVE_SHARE
--- /dev/null
+++ b/stoneyoke/lab/soak/judge.py
@@ -0,0 +1,100 @@
+"""The rules of a soak that need time: what ran on for a client that had left, what was broken off, what was lost.
+
+A disturbance excuses what it can explain, and no more: a stopped gateway or a link that holds a close up moves the
+moment from which a rule counts to the moment at which it was undone.
+"""
+
+from collections.abc import Iterable
+
+from stoneyoke.lab.cluster.traffic_ledger import NO_RESPONSE, Rule, Violation
+from stoneyoke.lab.soak.ledger import Disturbance, Run, RunEnd, SoakLedger, Try
+
+# The operators' rule: half a second from the moment at which the close has reached the gateway.
+GONE_S = 0.5
+# For the laboratory's own event loop and a machine that it shares with the processes.
+SLACK_S = 0.25
+# A close that a disturbance has held up may arrive a little after its end: a silent link lets its queue go, the kernel
+# sends again what was not acknowledged.
+SETTLE_S = 0.5
+BACKEND_LINK, CLIENT_LINK = "gateways>{}", "clients>{}"
+
+
+class Judge:
+    """Reads a ledger once all is over."""
+
+    def __init__(self, ledger: SoakLedger, ended_s: float) -> None:
+        """Takes the ledger, and when the last process was looked at."""
+        self.ledger, self.ended_s = ledger, ended_s
+        self.runs = ledger.runs_by_attempt()
+
+    def violations(self) -> list[Violation]:
+        """All breaks of the rules that need time, in the order of the tries."""
+        found: list[Violation] = []
+        for attempt_id, one in self.ledger.tries.items():
+            found += self.judge_try(attempt_id, one)
+        return found
+
+    def judge_try(self, attempt_id: str, one: Try) -> list[Violation]:
+        """What was wrong with one try."""
+        runs, is_order = self.runs.get(attempt_id, []), attempt_id in self.ledger.orders
+        found = [text for run in runs if is_order and (text := self.order_broken_off(one, run))]
+        violations = [Violation(Rule.ORDERS_FINISH, f"{attempt_id} {text}") for text in found]
+        if one.left_s is not None:
+            late = [text for run in runs if (text := self.outlived(one, run, is_order))]
+            violations += [Violation(Rule.ENDS_WITH_CLIENT, f"{attempt_id} {text}") for text in late]
+        elif text := self.lost(attempt_id, one, runs):
+            violations.append(Violation(Rule.ANSWERED, f"{attempt_id} {text}"))
+        return violations
+
+    def outlived(self, one: Try, run: Run, is_order: bool) -> str:
+        """Says how a run outlived its client; "" if it did not. An order that has begun is let finish."""
+        left_s = one.left_s or 0.0
+        limit_s = self.excused_until(left_s, self.on_the_way(one, run)) + GONE_S + SLACK_S
+        what = f"at {run.backend} by {one.gateway}, whose client left ({one.how}) at {left_s:.3f}"
+        if run.started_s > limit_s:
+            return f"began {what}, at {run.started_s:.3f}"
+        ended_s = run.ended_s if run.ended_s is not None else self.ended_s
+        if not is_order and ended_s > limit_s:
+            return f"was still at work {what}, until {ended_s:.3f}: {run.end.value}"
+        return ""
+
+    def order_broken_off(self, one: Try, run: Run) -> str:
+        """Says that an order's run ended with its connection though nothing was disturbed; else ""."""
+        if run.end is not RunEnd.CLOSED or run.ended_s is None:
+            return ""
+        if self.was_disturbed(self.on_the_way(one, run), one.sent_s, run.ended_s):
+            return ""
+        return f"was broken off at {run.backend} by {one.gateway}, at {run.ended_s:.3f}"
+
+    def lost(self, attempt_id: str, one: Try, runs: list[Run]) -> str:
+        """Says that a try ran and its client, which waited, had no response though nothing was disturbed; else ""."""
+        if not runs or one.ended_s is None or self.ledger.statuses[attempt_id] != NO_RESPONSE:
+            return ""
+        targets = {target for run in runs for target in self.on_the_way(one, run)}
+        if self.was_disturbed(targets, one.sent_s, one.ended_s) or any(run.end is RunEnd.LOST for run in runs):
+            return ""
+        return f"ran at {runs[-1].backend} by {one.gateway} and had no response by {one.ended_s:.3f}"
+
+    # ---- disturbances ----
+
+    def on_the_way(self, one: Try, run: Run) -> set[str]:
+        """The names of all that a try passed on its way to a run."""
+        return {one.gateway, one.link, run.backend, BACKEND_LINK.format(run.backend)}
+
+    def disturbed(self, targets: Iterable[str], from_s: float, to_s: float) -> list[Disturbance]:
+        """The disturbances of these targets in a time, the earliest first."""
+        names = set(targets)
+        found = [one for one in self.ledger.disturbances if one.target in names and one.overlaps(from_s, to_s)]
+        return sorted(found, key=lambda one: one.from_s)
+
+    def was_disturbed(self, targets: Iterable[str], from_s: float, to_s: float) -> bool:
+        """Whether a disturbance can explain what happened in a time."""
+        return bool(self.disturbed(targets, from_s - SETTLE_S, to_s))
+
+    def excused_until(self, left_s: float, targets: Iterable[str]) -> float:
+        """The moment by which a client's close has surely passed: each disturbance on the way holds it up."""
+        passed_s = left_s
+        for one in self.disturbed(targets, left_s - SETTLE_S, self.ended_s):
+            if one.from_s <= passed_s + GONE_S + SLACK_S:
+                passed_s = max(passed_s, one.to_s + SETTLE_S)
+        return passed_s
--- /dev/null
+++ b/stoneyoke/lab/soak/operator.py
@@ -0,0 +1,73 @@
+"""The operator of a soak: changes the configuration again and again, and reads it back at any controller."""
+
+import asyncio
+import json
+import random
+
+from stoneyoke.lab.cluster.processes import CONTROL_PORT, ClusterProcesses
+from stoneyoke.lab.cluster.requests import OK, example_configuration, send_request
+from stoneyoke.lab.cluster.traffic_ledger import Rule
+from stoneyoke.lab.soak.ledger import SoakLedger
+
+PAUSE_S = 0.6
+CALL_S = 1.0
+# What was acknowledged so long ago is read at each controller that answers at all, in touch or not.
+APPLY_S = 2.5
+READ_HEAD = b"GET /config/read HTTP/1.1\r\nHost: control\r\n"
+REPLACE_HEAD = b"POST /config/replace HTTP/1.1\r\nHost: control\r\n"
+
+
+class Operator:
+    """Sends configurations with rising numbers, each to a drawn controller, and keeps what was acknowledged."""
+
+    def __init__(self, cluster: ClusterProcesses, ledger: SoakLedger, random_source: random.Random) -> None:
+        """Sends nothing yet; number 1 is in force."""
+        self.cluster, self.ledger, self.draw = cluster, ledger, random_source
+        self.number = 1
+        self.acknowledged: list[tuple[float, int]] = []  # times and numbers, both rising
+
+    async def run(self, seconds: float) -> None:
+        """Changes and reads for a time, in turn."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + seconds
+        while loop.time() < end_s:
+            await self.change()
+            await asyncio.sleep(self.draw.uniform(0.0, PAUSE_S))
+            await self.read(self.draw.choice(list(self.cluster.controllers)))
+            await asyncio.sleep(self.draw.uniform(0.0, PAUSE_S))
+
+    async def change(self) -> None:
+        """Sends the next configuration to one controller, once."""
+        self.number += 1
+        address = self.cluster.controllers[self.draw.choice(list(self.cluster.controllers))], CONTROL_PORT
+        body = json.dumps(example_configuration(self.number)).encode()
+        answer = await send_request(address, REPLACE_HEAD, body, CALL_S)
+        if answer and answer.status == OK:
+            self.acknowledged.append((asyncio.get_running_loop().time(), self.number))
+
+    async def read(self, controller: str) -> bool:
+        """Reads the configuration at a controller; an older one than it owes breaks a rule.
+
+        Returns:
+            Whether there was an answer with a configuration.
+        """
+        sent_s = asyncio.get_running_loop().time()
+        answer = await send_request((self.cluster.controllers[controller], CONTROL_PORT), READ_HEAD, b"", CALL_S)
+        if answer is None or answer.status != OK:
+            return False
+        generation = int(json.loads(answer.body)["generation"].removeprefix("r"))
+        owed = max((number for at_s, number in self.acknowledged if at_s <= sent_s - APPLY_S), default=1)
+        if generation < owed:
+            self.ledger.report(Rule.DURABLE_CONFIGURATION, f"{controller} told r{generation}, r{owed} was acknowledged")
+        return True
+
+    async def read_back(self, within_s: float) -> None:
+        """After the faults: every controller has to tell the configuration."""
+        await asyncio.sleep(APPLY_S)
+        for controller in self.cluster.controllers:
+            try:
+                async with asyncio.timeout(within_s):
+                    while not await self.read(controller):  # noqa: ASYNC110 -- another process answers, or does not
+                        await asyncio.sleep(PAUSE_S)
+            except TimeoutError:
+                self.ledger.report(Rule.DURABLE_CONFIGURATION, f"{controller} told none for {within_s} s")
--- /dev/null
+++ b/stoneyoke/lab/soak/run.py
@@ -0,0 +1,191 @@
+"""One soak: brings the system up, sends traffic under the faults of a seed, and judges what was seen."""
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass
+from pathlib import Path
+
+from stoneyoke.lab.addresses import LinkAddresses
+from stoneyoke.lab.cluster.processes import FRONT_PORT, ClusterProcesses
+from stoneyoke.lab.cluster.requests import SERVICES
+from stoneyoke.lab.cluster.stand_in_backend import SERVICE_PORT
+from stoneyoke.lab.cluster.traffic_ledger import Rule, Violation
+from stoneyoke.lab.links import Link
+from stoneyoke.lab.soak.backend import SoakBackend
+from stoneyoke.lab.soak.client import SoakClient
+from stoneyoke.lab.soak.faults import FaultInjector, FaultTargets
+from stoneyoke.lab.soak.judge import BACKEND_LINK, CLIENT_LINK, Judge
+from stoneyoke.lab.soak.ledger import RunEnd, SoakLedger
+from stoneyoke.lab.soak.operator import Operator
+from stoneyoke.lab.soak.schedule import ScheduledFault, Targets, draw_schedule
+from stoneyoke.lab.soak.watch import ProcessWatch
+
+BACKENDS = 4
+READY_S = 20.0
+IDLE_S = 8.0  # after the traffic: longer than an idle connection of a client is kept
+READ_BACK_S = 10.0
+LEAST_SERVED = 0.3  # of the requests that were not left; fewer, and the run shows nothing
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SoakSettings:
+    """What a soak is made of.
+
+    Attributes:
+        seed: Of the schedule and of the clients' draws.
+        seconds: How long traffic lasts.
+        gateways: How many.
+        rate_per_s: Requests.
+        address_block: See ClusterProcesses.
+        defect: A defect that is put into the gateways; "" for none.
+    """
+
+    seed: int
+    seconds: float
+    gateways: int = 3
+    rate_per_s: float = 40.0
+    address_block: int = 0
+    defect: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SoakResult:
+    """What came of a soak."""
+
+    schedule: tuple[ScheduledFault, ...]
+    ledger: SoakLedger
+    violations: list[Violation]
+    served: int
+    given_up: int
+    left: int
+
+    def __str__(self) -> str:
+        """One line for people."""
+        ends = [run.end for run in self.ledger.runs]
+        return (
+            f"{len(self.schedule)} faults, {len(self.ledger.tries)} tries, {self.left} left, {self.served} served, "
+            f"{self.given_up} given up; {len(ends)} runs, {ends.count(RunEnd.CLOSED)} of them cut; "
+            f"{len(self.violations)} rules broken"
+        )
+
+
+class Soak:
+    """The parts of one soak. All are made anew for each seed."""
+
+    def __init__(self, settings: SoakSettings, folder: Path) -> None:
+        """Opens nothing yet. `folder` takes settings, data and log files."""
+        self.settings = settings
+        self.ledger = SoakLedger()
+        self.cluster = ClusterProcesses(folder, settings.gateways, settings.address_block, keeps_logs=True)
+        if settings.defect:
+            self.cluster.gateway_module = "stoneyoke.lab.soak.defects"
+            self.cluster.gateway_arguments = (settings.defect,)
+        block = settings.address_block
+        self.entries = {name: (f"127.{block}.4.{n}", FRONT_PORT) for n, name in enumerate(self.cluster.gateways, 1)}
+        self.backends = {backend.instance: backend for backend in map(self.make_backend, range(1, BACKENDS + 1))}
+        self.links = {link.addresses.destination: link for link in self.make_links()}
+        draw = random.Random(f"clients {settings.seed}")
+        self.client = SoakClient(self.cluster, self.ledger, draw, self.entries)
+        self.operator = Operator(self.cluster, self.ledger, random.Random(f"operator {settings.seed}"))
+
+    def make_backend(self, number: int) -> SoakBackend:
+        """A backend behind a link of its own."""
+        entry = (f"127.{self.settings.address_block}.5.{number}", SERVICE_PORT)
+        return SoakBackend(SERVICES[number % len(SERVICES)], number, self.ledger, self.cluster, entry)
+
+    def make_links(self) -> list[Link]:
+        """The links from the clients to each gateway, and from all gateways to each backend."""
+        links = [
+            Link(LinkAddresses("clients", CLIENT_LINK.format(name), self.entries[name], (ip, FRONT_PORT)))
+            for name, ip in self.cluster.gateways.items()
+        ]
+        for instance, backend in self.backends.items():
+            host, _, port = backend.address.rpartition(":")
+            exit_address = (backend.ip, SERVICE_PORT)
+            links.append(
+                Link(LinkAddresses("gateways", BACKEND_LINK.format(instance), (host, int(port)), exit_address))
+            )
+        return links
+
+    def schedule(self) -> tuple[ScheduledFault, ...]:
+        """The faults of the seed."""
+        targets = Targets(
+            controllers=tuple(self.cluster.controllers),
+            gateways=tuple(self.cluster.gateways),
+            links=tuple(self.links),
+            backends=tuple(self.backends),
+        )
+        return draw_schedule(self.settings.seed, self.settings.seconds, targets)
+
+    async def run(self) -> SoakResult:
+        """Runs to the end and ends all its processes."""
+        backend_tasks = [asyncio.create_task(backend.run()) for backend in self.backends.values()]
+        try:
+            await self.bring_up()
+            for task in backend_tasks:
+                if task.done():  # its address could not be had, most likely
+                    await task
+            ended_s = await self.soak()
+        finally:
+            for task in backend_tasks:
+                task.cancel()
+            for link in self.links.values():
+                link.close()
+                link.reset_connections()
+            await self.cluster.close()
+        return self.result(ended_s)
+
+    async def bring_up(self) -> None:
+        """Starts all processes, puts the first configuration and waits for the gateways."""
+        for link in self.links.values():
+            link.listen()
+        for name in (*self.cluster.controllers, *self.cluster.gateways):
+            await self.cluster.start(name)
+        await self.cluster.replace_configuration(self.operator.number)
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self) -> None:
+        """Waits for all gateways; one that never gets ready breaks a rule."""
+        try:
+            async with asyncio.timeout(READY_S):
+                await asyncio.gather(*(self.cluster.wait_until_ready(name) for name in self.cluster.gateways))
+        except TimeoutError:
+            self.ledger.report(Rule.STAYS_UP, f"a gateway was not ready within {READY_S} s")
+
+    async def soak(self) -> float:
+        """Sends traffic under faults, and looks at all once it is over; returns when that was."""
+        settings = self.settings
+        targets = FaultTargets(cluster=self.cluster, client=self.client, links=self.links, backends=self.backends)
+        injector = FaultInjector(targets, self.ledger)
+        watch = ProcessWatch(self.cluster, self.ledger, injector.down)
+        watching = asyncio.create_task(watch.run())
+        try:
+            async with asyncio.TaskGroup() as work:
+                work.create_task(self.client.send_traffic(settings.seconds, settings.rate_per_s))
+                work.create_task(self.operator.run(settings.seconds))
+                work.create_task(injector.run(self.schedule()))
+            await self.wait_until_ready()
+            ended_s = asyncio.get_running_loop().time()
+            await asyncio.gather(watch.expect_nothing_held(IDLE_S), self.operator.read_back(READ_BACK_S))
+            await watch.look()
+        finally:
+            watching.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await watching
+        return ended_s
+
+    def result(self, ended_s: float) -> SoakResult:
+        """Judges what was seen."""
+        violations = self.ledger.violations() + Judge(self.ledger, ended_s).violations()
+        served, given_up = self.client.served, self.client.given_up
+        if served < LEAST_SERVED * max(1, served + given_up):
+            violations.append(Violation(Rule.ANSWERED, f"only {served} requests were served, {given_up} given up"))
+        return SoakResult(
+            schedule=self.schedule(),
+            ledger=self.ledger,
+            violations=violations,
+            served=served,
+            given_up=given_up,
+            left=self.client.left,
+        )
--- /dev/null
+++ b/stoneyoke/lab/soak/watch.py
@@ -0,0 +1,88 @@
+"""Looks at the processes of a soak while it runs and after it: their figures, and whether they are there."""
+
+import asyncio
+
+from stoneyoke.lab.cluster.processes import METRICS_PORT, ClusterProcesses
+from stoneyoke.lab.cluster.requests import OK, send_request
+from stoneyoke.lab.cluster.traffic_ledger import Rule
+from stoneyoke.lab.soak.ledger import SoakLedger
+from stoneyoke.runtime.metrics_text import VIOLATIONS, read_metrics_text
+
+WATCH_S = 0.5
+METRICS_HEAD = b"GET /metrics HTTP/1.1\r\nHost: metrics\r\n"
+# Of a gateway without clients: all of these are zero, and each descriptor belongs to an idle connection.
+HELD = (
+    "stoneyoke_requests_in_flight",
+    "stoneyoke_attempts_in_flight",
+    "stoneyoke_attempts_of_clients_gone",
+    "stoneyoke_client_connections_open",
+)
+DESCRIPTORS, IDLE = "stoneyoke_descriptors_in_use", "stoneyoke_backend_connections_idle"
+POLL_S = 0.1
+
+Figures = dict[str, float]
+
+
+class ProcessWatch:
+    """Fetches the figures of all processes, and reports what must not be."""
+
+    def __init__(self, cluster: ClusterProcesses, ledger: SoakLedger, down: set[str]) -> None:
+        """Looks at nothing yet. `down`: the processes that are down on purpose, at any moment."""
+        self.cluster, self.ledger, self.down = cluster, ledger, down
+        self.reported: set[tuple[str, str]] = set()
+
+    async def run(self) -> None:
+        """Looks again and again until it is cancelled."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            await self.look()
+
+    async def look(self) -> None:
+        """Reports violated invariants, and processes that have ended by themselves."""
+        names = [*self.cluster.controllers, *self.cluster.gateways]
+        for name in names:
+            process = self.cluster.running.get(name)
+            if process and process.returncode is not None and name not in self.down:
+                self.report_once(Rule.STAYS_UP, name, f"has ended by itself with {process.returncode}")
+        for name, figures in zip(names, await asyncio.gather(*map(self.fetch, names)), strict=True):
+            broken = [key for key, value in (figures or {}).items() if key.startswith(VIOLATIONS + "{") and value]
+            for key in broken:
+                self.report_once(Rule.NO_VIOLATIONS, name, key)
+
+    def report_once(self, rule: Rule, name: str, detail: str) -> None:
+        """Reports what stays as it is, and would be seen at each look."""
+        if (name, detail) not in self.reported:
+            self.reported.add((name, detail))
+            self.ledger.report(rule, f"{name}: {detail}")
+
+    async def fetch(self, name: str) -> Figures | None:
+        """The figures of a process; None if it does not answer."""
+        ip = (self.cluster.controllers | self.cluster.gateways)[name]
+        answer = await send_request((ip, METRICS_PORT), METRICS_HEAD, b"", WATCH_S)
+        return read_metrics_text(answer.body.decode()) if answer and answer.status == OK else None
+
+    async def expect_nothing_held(self, within_s: float) -> None:
+        """After the traffic: no gateway holds anything for a request within a time."""
+        await asyncio.gather(*(self.expect_idle(name, within_s) for name in self.cluster.gateways))
+
+    async def expect_idle(self, gateway: str, within_s: float) -> None:
+        """Waits until a gateway holds nothing; what it holds at the end of the time breaks a rule."""
+        held: Figures | None = None
+        try:
+            async with asyncio.timeout(within_s):
+                while True:
+                    figures = await self.fetch(gateway)
+                    held = held_by(figures) if figures else held
+                    if figures and not held:
+                        return
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            self.ledger.report(Rule.NOTHING_HELD, f"{gateway} {f'holds {held}' if held else 'tells no figures'}")
+
+
+def held_by(figures: Figures) -> Figures:
+    """What a gateway holds that it should not hold without clients."""
+    held = {name: figures[name] for name in HELD if figures[name]}
+    if figures[DESCRIPTORS] != figures[IDLE]:
+        held |= {name: figures[name] for name in (DESCRIPTORS, IDLE)}
+    return held
--- a/tests/lab/test_cluster.py
+++ b/tests/lab/test_cluster.py
@@ -3,10 +3,13 @@
 import asyncio
 import os
 
+import pytest
+
 from stoneyoke.lab.cluster.traffic_ledger import Rule, TrafficLedger
 from stoneyoke.lab.cluster.trial import TrialSettings, run_trial
 
 
+@pytest.mark.xdist_group("cluster")
 def test_a_killed_controller_and_gateway_lose_nothing_and_run_no_order_twice():
     settings = TrialSettings(seconds=6.0, gateways=2, rate_per_s=30.0, seed=3, address_block=1 + os.getpid() % 250)
     ledger, client = asyncio.run(run_trial(settings))
