net: an attempt is cancelled by its own method; send_attempt is shorter

Cause: the cancellation of an attempt stood as a closure in Backends.send_attempt, over state of the attempt. Change: Attempt.cancel, with the attempt's time limit. No behaviour in it.

--- a/stoneyoke/net/attempt.py
+++ b/stoneyoke/net/attempt.py
@@ -1,5 +1,6 @@
 """One attempt at a backend, and whether the backend may have run the request if the attempt fails."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -44,21 +45,32 @@
     twice rests on may_have_run().
 
     Attributes:
+        time_limit: Ends whatever it waits for, at its deadline or by a cancellation.
         connection: The connection, once there is one.
         request: What has been written, once the write has begun.
         cancelled_as: The outcome if the decision logic has cancelled the attempt, by its reason; else None.
     """
 
-    def __init__(self, pool: BackendPool) -> None:
+    def __init__(self, pool: BackendPool, time_limit: asyncio.Timeout) -> None:
         """Starts without a connection."""
-        self.pool = pool
+        self.pool, self.time_limit = pool, time_limit
         self.connection: BackendConnection | None = None
         self.request: RequestWrite | None = None
         self.cancelled_as: AttemptOutcome | None = None
 
-    def may_be_cancelled(self, *, only_unsent: bool) -> bool:
-        """Whether a cancellation holds: it is the first, and a request that must be unsent was offered to no socket."""
-        return self.cancelled_as is None and not (only_unsent and self.request is not None)
+    def cancel(self, outcome: AttemptOutcome, *, only_unsent: bool) -> None:
+        """Ends the attempt in the event loop's next turn, unless it has ended, or must go on.
+
+        One that meets the deadline in the same turn of the loop comes too late: the time-out stands.
+
+        Args:
+            outcome: Its outcome, by the reason of the cancellation, if the request may have run.
+            only_unsent: A request that was offered to a socket goes on.
+        """
+        if self.cancelled_as is not None or self.time_limit.expired() or (only_unsent and self.request is not None):
+            return
+        self.cancelled_as = outcome
+        self.time_limit.reschedule(0.0)
 
     async def send(self, request: OutgoingRequest) -> None:
         """Writes the request; returns once the kernel has taken its last byte.
--- a/stoneyoke/net/backends.py
+++ b/stoneyoke/net/backends.py
@@ -105,20 +105,16 @@
         awaited = self.metrics.check_invariant(not pending.client_gone, "attempt started for a client that has gone")
         if pool is None or self.clock.now() >= request.deadline_us or not awaited:
             return AttemptResult(AttemptOutcome.NOT_SENT, None)
-        attempt, response = Attempt(pool), None
-        time_limit = asyncio.timeout_at(self.clock.loop_time(request.deadline_us))
+        attempt, response = Attempt(pool, asyncio.timeout_at(self.clock.loop_time(request.deadline_us))), None
 
         def cancel(attempt_number: int, only_unsent: bool) -> None:
-            if attempt_number != number or not (self.may_cancel_attempts or pending.client_gone):
-                return
-            # One that meets the deadline in the same turn of the loop comes too late: the time-out stands.
-            if attempt.may_be_cancelled(only_unsent=only_unsent) and not time_limit.expired():
-                attempt.cancelled_as = AttemptOutcome.CLIENT_GONE if pending.client_gone else AttemptOutcome.CANCELLED
-                time_limit.reschedule(0.0)
+            if attempt_number == number and (self.may_cancel_attempts or pending.client_gone):
+                reason = AttemptOutcome.CLIENT_GONE if pending.client_gone else AttemptOutcome.CANCELLED
+                attempt.cancel(reason, only_unsent=only_unsent)
 
         pending.cancel_attempt = cancel
         try:
-            async with time_limit:
+            async with attempt.time_limit:
                 acquired = await self.acquire_connection(attempt, backend)
                 # The connection may have come up in the turn of the loop in which the attempt was cancelled. Nothing
                 # is written after that: a request that must not be broken off would be, as soon as it had begun.
@@ -127,7 +123,7 @@
                 await attempt.send(request)
                 response = await attempt.receive(request, self.metrics)
         except OSError as error:  # a TimeoutError is one: the time limit's, connect()'s or the kernel's own
-            return AttemptResult(attempt.failure_outcome(error, deadline_passed=time_limit.expired()), None)
+            return AttemptResult(attempt.failure_outcome(error, deadline_passed=attempt.time_limit.expired()), None)
         except MalformedMessage as error:
             self.metrics.report("backend responses: malformed", f"{pool.address}: {error}")
             return AttemptResult(AttemptOutcome.BROKEN, None)
--- a/tests/system/test_upstream_attempts.py
+++ b/tests/system/test_upstream_attempts.py
@@ -186,7 +186,7 @@
         assert request.may_have_left() is left
     request = RequestWrite(Transport())
     request.start([b"POST / HTTP/1.1\r\n"], b"order")
-    attempt = Attempt(BackendPool(("127.0.0.1", 1)))
+    attempt = Attempt(BackendPool(("127.0.0.1", 1)), asyncio.timeout(None))
     attempt.request = request
     attempt.cancelled_as = AttemptOutcome.CANCELLED  # with every byte still here
     assert attempt.failure_outcome(TimeoutError(), deadline_passed=True) is AttemptOutcome.NOT_SENT
