--- a/stoneyoke/lab/links.py
+++ b/stoneyoke/lab/links.py
@@ -72,10 +72,11 @@
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Ends the other end in the same way, unless the link is silent."""
-        self._link.ends.discard(self)
+        """Ends the other end in the same way, unless the link is silent: then it ends once the link is not."""
         if error:
             self._enqueue(END_OF_STREAM)
+        if not self._queue:
+            self._link.ends.discard(self)
         if self.other and self.other._transport and not self._is_silent:
             if error:
                 self.other._transport.abort()
@@ -106,10 +107,14 @@
                 return
             max_pieces -= 1
             data = self._queue.popleft()
-            if data is END_OF_STREAM:
+            if data is END_OF_STREAM and not self.is_open:  # it was lost, and can't be written to either
+                self.other._transport.close()
+            elif data is END_OF_STREAM:
                 self.other._write_eof()
             else:
                 self.other._transport.write(data)
+        if not self._queue and not self.is_open:
+            self._link.ends.discard(self)
 
     def _write_eof(self) -> None:
         # A connection that was reset meanwhile can't be shut down, and the end of a fault must not end this process.
@@ -119,7 +124,7 @@
 
     def reset(self) -> None:
         """Ends the connection with a reset."""
-        if not self._transport:
+        if not self._transport or not self.is_open:
             return
         sock = self._transport.get_extra_info("socket")
         if sock:
--- a/stoneyoke/lab/soak/__main__.py
+++ b/stoneyoke/lab/soak/__main__.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import shutil
+import signal
 import sys
 from pathlib import Path
 
@@ -108,7 +109,8 @@
 
 
 def main() -> None:
-    """Parses the command line and runs."""
+    """Parses the command line and runs. SIGTERM ends it as Ctrl-C does: with all processes that it has started."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     app.run(run)
 
 
--- a/stoneyoke/lab/soak/run.py
+++ b/stoneyoke/lab/soak/run.py
@@ -128,12 +128,12 @@
                     await task
             ended_s = await self.soak()
         finally:
+            await self.cluster.close()
             for task in backend_tasks:
                 task.cancel()
             for link in self.links.values():
                 link.close()
                 link.reset_connections()
-            await self.cluster.close()
         return self.result(ended_s)
 
     async def bring_up(self) -> None:
