--- a/stoneyoke/lab/soak/client.py
+++ b/stoneyoke/lab/soak/client.py
@@ -21,7 +21,7 @@
 LATEST_LEAVE_S = 0.35  # after it was sent
 STRAIGHT_SHARE = 0.3  # of the requests go to the gateway without a link: over one, a reset arrives as a close
 BACKLOG_SHARE = 0.25  # of the clients that leave have sent more than a gateway reads meanwhile
-BACKLOG_BYTES = 120_000
+BACKLOG_BYTES = 80_000  # and less than its kernel takes: behind a full receive window no FIN arrives
 HALF_CLOSED_S = 2.5  # how long a half-closed connection stays open
 CONNECT_S = 2.0
 
