--- a/tests/system/test_client_left.py
+++ b/tests/system/test_client_left.py
@@ -58,8 +58,8 @@
         assert backend.cut == [attempt_id] and not backend.finished
 
 
-# Of the next request: more than the gateway reads while it owes an answer (48 KiB at most), and less than the kernel takes
-# besides (some 77 KiB). Behind a full receive window no FIN arrives: with 150,000 it did 38 times in 40.
+# Of the next request: more than the gateway reads while it owes an answer (48 KiB at most), and less than the kernel
+# takes besides (some 77 KiB). Behind a full receive window no FIN arrives: with 150,000 it did 38 times in 40.
 UNREAD_BYTES = 80_000
 
 
