--- a/stoneyoke/control/backend_selection.py
+++ b/stoneyoke/control/backend_selection.py
@@ -130,9 +130,9 @@
         self.changes += 1
         backend, statistics = self.table.by_index[attempt.backend], self.context.methods[method]
         latency_us = self.context.now - attempt.started_at
-        if outcome is AttemptOutcome.CLIENT_GONE:  # no fault; the answer would have taken longer than this
-            if (relative := latency_us / statistics.mean_latency_us) > backend.relative_latency:
-                backend.record_latency(relative, self.context.now)
+        if outcome is AttemptOutcome.CLIENT_GONE:  # no fault; a silence counts half, as in fade_measurements()
+            relative = max(latency_us, (self.context.now - backend.silent_since) / 2) / statistics.mean_latency_us
+            backend.record_latency(max(relative, backend.relative_latency), self.context.now)
             return
         if outcome in (AttemptOutcome.OK, AttemptOutcome.ERROR, AttemptOutcome.REJECTED):
             backend.silent_since = self.context.now
--- a/stoneyoke/control/backend_table.py
+++ b/stoneyoke/control/backend_table.py
@@ -1,7 +1,7 @@
 """The records of backends: what discovery lists of them and what this gateway has measured. Decides nothing."""
 
 from stoneyoke.control.events import EndpointsChanged
-from stoneyoke.control.parameters import BackendState, DeduplicationScope, GatewayParameters
+from stoneyoke.control.parameters import AttemptOutcome, BackendState, DeduplicationScope, GatewayParameters
 from stoneyoke.limits.token_bucket import TokenBucket
 
 
@@ -19,6 +19,7 @@
         self.latency_band = 0  # step of observed latency over the fleet's median, 0 the fastest
         self.failure_share = 0.0  # running mean over attempts
         self.silent_since = 0  # the last answer, or the first attempt after a pause
+        self.unanswered_us = 0  # how long it was silent before the pause, if its last attempt ended with its client
         self.measured_at = self.last_attempt_at = 0
         self.ejected_until = 0  # it gets no attempts before
         self.ring_position = 0  # this gateway's place for it, among equals (spread/zone_ranking.py)
@@ -28,15 +29,20 @@
     def attempt_started(self, now: int) -> None:
         """Counts an attempt."""
         if self.in_flight == 0:
-            self.silent_since = now
+            self.silent_since = now - self.unanswered_us
         self.in_flight += 1
         self.last_attempt_at = now
         self.cold_budget.level -= not self.is_warm
 
-    def attempt_ended(self, was_overdue: bool) -> None:
-        """Takes an attempt off the counts."""
+    def attempt_ended(self, was_overdue: bool, outcome: AttemptOutcome, now: int) -> None:
+        """Takes an attempt off the counts.
+
+        A client that leaves ends no silence: a backend that never answers would look idle each time, and attract the
+        attempts of all clients that leave early.
+        """
         self.overdue -= was_overdue
         self.in_flight -= 1
+        self.unanswered_us = now - self.silent_since if outcome is AttemptOutcome.CLIENT_GONE else 0
 
     def record_latency(self, relative: float, now: int) -> None:
         """Takes an attempt's latency, in the mean latencies of the methods, into the running mean."""
--- a/stoneyoke/control/rpc_runner.py
+++ b/stoneyoke/control/rpc_runner.py
@@ -72,7 +72,8 @@
             return
         attempt = rpc.in_flight.pop(result.attempt)
         was_overdue = rpc.overdue_counted == result.attempt + 1
-        self.backends.table.by_index[attempt.backend].attempt_ended(was_overdue)
+        backend = self.backends.table.by_index[attempt.backend]
+        backend.attempt_ended(was_overdue, result.outcome, self.context.now)
         self.backends.concurrency.in_flight -= 1
         customer = self.quotas.customers[rpc.arrival.customer]
         customer.in_flight -= 1
--- a/tests/control/test_backend_selection.py
+++ b/tests/control/test_backend_selection.py
@@ -1,9 +1,10 @@
 """Choice of a backend: endpoints, ranking, slow start, ejection."""
 
+import pytest
 from decision_bench import START, DecisionBench, actions_of, attempts_in, gateways_of_one_fleet, plan, start_rpcs
 
 from stoneyoke.control.actions import Reject, StartAttempt, Subscribe
-from stoneyoke.control.events import Endpoint, EndpointsChanged
+from stoneyoke.control.events import ClientGone, Endpoint, EndpointsChanged
 from stoneyoke.control.parameters import AttemptOutcome, BackendState
 
 
@@ -106,3 +107,27 @@
     assert actions_of(Subscribe, bench.pass_time(100_000))
     bench.tell(EndpointsChanged(False, True))
     assert actions_of(Subscribe, bench.pass_time(2_000_000))
+
+
+def shares_with_a_silent_backend(leave_us, arrivals=600):
+    """The share of the attempts that backend 0 gets, which never answers; of six, each client leaving after a time."""
+    bench, ends, got = DecisionBench(fleet=6, plans=(plan(0.0, 0.0),), has_counter=False, gateways=1), [], []
+    for _ in range(arrivals):
+        bench.pass_time(20_000)
+        while ends and ends[0][0] <= bench.now:
+            _, rpc, backend = ends.pop(0)
+            if backend == 0:
+                bench.tell(ClientGone(rpc))
+            outcome = AttemptOutcome.OK if backend else AttemptOutcome.CLIENT_GONE
+            bench.end_attempt(rpc, 0, backend, outcome, is_final=True)
+        for out in attempts_in(bench.arrive()):
+            got.append(out.backend)
+            ends.append((bench.now + (leave_us if out.backend == 0 else 40_000), bench.next_rpc, out.backend))
+            ends.sort()
+    assert bench.gateway.backends.table.by_index[0].failure_share == 0
+    return got.count(0) / len(got)
+
+
+@pytest.mark.parametrize("leave_us", [30_000, 60_000, 200_000])
+def test_a_backend_that_never_answers_attracts_nobody_though_its_clients_leave_before_it_is_overdue(leave_us):
+    assert shares_with_a_silent_backend(leave_us) < 0.06, "an even share is a sixth"
--- a/tests/control/test_retry_policy.py
+++ b/tests/control/test_retry_policy.py
@@ -4,7 +4,7 @@
 from decision_bench import METHODS, DecisionBench, actions_of, attempts_in, counter_total, plan
 
 from stoneyoke.control.actions import Abandon, CancelAttempt, Reject, StartAttempt
-from stoneyoke.control.events import AnswerStarted, Arrival, CounterReply
+from stoneyoke.control.events import AnswerStarted, Arrival, ClientGone, CounterReply
 from stoneyoke.control.parameters import AttemptOutcome
 
 
@@ -119,3 +119,24 @@
     assert not actions_of(CancelAttempt, later) and not attempts_in(later) and bench.gateway.holds(1)
     bench.end_attempt(1, 0, first.backend)
     assert not bench.gateway.holds(1)
+
+
+@pytest.mark.parametrize(
+    ("method", "can_cancel", "only_unsent"), [(0, True, False), (0, False, True), (1, True, True), (2, True, True)]
+)
+def test_a_client_that_leaves_ends_its_attempt_also_a_sent_one_if_that_may_be_broken_off(
+    method, can_cancel, only_unsent
+):
+    bench = DecisionBench(can_cancel_attempts=can_cancel)
+    first = attempts_in(bench.arrive(method=method))[0]
+    assert bench.tell(ClientGone(1)) == [CancelAttempt(1, 0, only_unsent)]
+    assert bench.gateway.holds(1) and not attempts_in(bench.pass_time(3_000_000))
+    assert not bench.end_attempt(1, 0, first.backend, AttemptOutcome.CLIENT_GONE)
+    assert not bench.gateway.holds(1) and not bench.tell(ClientGone(1))
+
+
+def test_a_second_attempt_ends_with_its_client_and_the_first_that_has_ended_is_left_alone():
+    bench = DecisionBench()
+    first = attempts_in(bench.arrive())[0]
+    assert attempts_in(bench.end_attempt(1, 0, first.backend, AttemptOutcome.BROKEN))
+    assert bench.tell(ClientGone(1)) == [CancelAttempt(1, 1, False)]
