--- a/stoneyoke/programs/metrics_server.py
+++ b/stoneyoke/programs/metrics_server.py
@@ -18,6 +18,7 @@
 METRICS_TARGET = b"/metrics"
 BACKLOG = 16
 IDLE_TIMEOUT_S = 10.0
+CONNECTIONS_MAX = 16  # descriptors are for clients and backends; whoever looks at figures has a few
 
 
 class MetricsServer:
@@ -30,6 +31,7 @@
             render: Gives all figures as text.
         """
         self.render = render
+        self.connections = 0
 
     async def open(self, address: tuple[str, int]) -> None:
         """Listens at an IP address and port; port 0 opens nothing. An address that can't be had costs the figures only.
@@ -46,6 +48,10 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one connection until it ends, is idle for too long, or sends what is not HTTP."""
+        if self.connections >= CONNECTIONS_MAX:
+            writer.transport.abort()
+            return
+        self.connections += 1
         messages = MessageReader(reader, responses=False)
         try:
             keep_alive = True
@@ -59,6 +65,7 @@
         except (OSError, MalformedMessage):  # a TimeoutError is an OSError
             pass
         finally:
+            self.connections -= 1
             writer.close()
 
     def respond(self, writer: asyncio.StreamWriter, target: bytes) -> None:
--- a/tests/system/test_metrics.py
+++ b/tests/system/test_metrics.py
@@ -2,9 +2,10 @@
 
 from event_loop import on_loop
 from gateway_fixture import HOST, read_head
+from raw_backend import until
 from ward import each, test
 
-from stoneyoke.programs.metrics_server import MetricsServer
+from stoneyoke.programs.metrics_server import CONNECTIONS_MAX, MetricsServer
 from stoneyoke.runtime.metrics import Metrics
 from stoneyoke.runtime.metrics_text import metrics_text, read_metrics_text
 
@@ -48,6 +49,26 @@
     listener.close()
 
 
+@test("connections beyond a few are closed, and taken again once others have ended")
+@on_loop
+async def _():
+    server = MetricsServer(lambda: "figure 1\n")
+    listener = await asyncio.start_server(server.serve, HOST, 0)
+    address = listener.sockets[0].getsockname()
+    kept = [await asyncio.open_connection(*address) for _ in range(CONNECTIONS_MAX)]
+    await until(lambda: server.connections == CONNECTIONS_MAX)
+    reader, _ = await asyncio.open_connection(*address)
+    assert await reader.read() == b""
+    for _, writer in kept:
+        writer.close()
+    await until(lambda: server.connections == 0)
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert (await read_head(reader))["line"].split()[1] == b"200"
+    writer.close()
+    listener.close()
+
+
 @test("a port that is taken costs the figures and not the program")
 @on_loop
 async def _():
