--- /dev/null
+++ b/tests/system/test_departures_in_any_order.py
@@ -0,0 +1,68 @@
+"""Clients that leave at any moment, among answers, drains and sweeps: drawn orders, each kept by its seed."""
+
+import asyncio
+import random
+
+from configurations import route
+from departures import WAYS_TO_LEAVE, assert_nothing_held, turn_loop
+from event_loop import on_loop
+from gateway_fixture import GatewayUnderTest
+from holding_backend import HoldingBackend, LeavingClient
+from raw_backend import until
+from ward import each, test
+
+
+def drawn_steps(seed, backend, gateway, clients):
+    """Sixty steps in an order drawn from the seed: requests, departures, answers, drains, sweeps, loop turns."""
+    draw = random.Random(seed)
+
+    def send():
+        if len(clients) < 8:
+            clients.append(LeavingClient(gateway.port))
+            clients[-1].send(path=draw.choice((b"/a/b/x", b"/a/x")))
+
+    def leave():
+        if clients:
+            draw.choice(WAYS_TO_LEAVE)(clients.pop(draw.randrange(len(clients))))
+
+    def answer():
+        backend.released.set()
+
+    def hold():
+        backend.released.clear()
+
+    def drain():
+        gateway.handler.draining, gateway.backends.may_cancel_attempts = True, False
+
+    def sweep():
+        gateway.handler.connections.close_expired()
+        for upstream in gateway.upstreams.upstreams.values():
+            upstream.runtime.departures.sweep()
+
+    steps = [send] * 8 + [leave] * 8 + [answer, hold, hold, sweep, sweep] + [lambda: None] * 6
+    return [draw.choice(steps) for _ in range(60)] + [drain] * (seed % 2) + [draw.choice(steps) for _ in range(10)]
+
+
+@test("drawn orders of requests, departures, answers, drains and sweeps leave nothing behind and no invariant violated")
+@on_loop
+async def _(first_seed=each(0, 10, 20, 30)):
+    def mixed(configuration):
+        route(configuration, 0, 0).update(weighted=None, target_service="quay")
+        route(configuration, 0, 0).pop("weighted")
+
+    for seed in range(first_seed, first_seed + 10):
+        backend, clients = HoldingBackend(), []
+        async with GatewayUnderTest([backend], change=mixed) as gateway:
+            turns = random.Random(-seed)
+            for step in drawn_steps(seed, backend, gateway, clients):
+                step()
+                for _ in range(turns.choice((0, 0, 1, 2, 5, 40))):
+                    await asyncio.sleep(0)
+            for client in clients:
+                client.close()
+            await turn_loop()
+            backend.released.set()
+            await until(lambda gateway=gateway: not gateway.handler.connections.open)
+            idle = sum(len(pool.idle) for pool in gateway.backends.pools.values())
+            assert_nothing_held(gateway, idle_connections=idle)
+            assert len(set(backend.cut)) == len(backend.cut) and not set(backend.cut) & set(backend.finished)
