--- a/review/1/case.py
+++ b/review/1/case.py
@@ -68,7 +68,7 @@
     backends = [Backend(platform, SERVICE, number, work) for number in (1, 2, 3, 4)]
     loop = asyncio.get_running_loop()
     try:
-        body = configuration(7, [SERVICE], [route("r-orders", "/orders/", "effectful", SERVICE)])
+        body = configuration(7, [SERVICE], [route("/orders/", "effectful", SERVICE)])
         await bring_up(platform, backends, body)
         until = loop.time() + CALM_S
         calm = await asyncio.gather(
--- a/review/standins.py
+++ b/review/standins.py
@@ -293,14 +293,14 @@
     ).encode()
 
 
-def route(label: str, prefix: str, kind: str, service: str, timeout_s: float = 6.0) -> dict[str, Any]:
+def route(prefix: str, kind: str, service: str, *, timeout_s: float = 6.0, target_s: float = 1.0) -> dict[str, Any]:
     """Returns a route to one service."""
     return {
-        "label": label,
+        "label": f"r-{prefix.strip('/')}",
         "path_prefix": prefix,
         "route_kind": kind,
         "timeout_s": timeout_s,
-        "target_s": 1,
+        "target_s": target_s,
         "rank": 1,
         "target_service": service,
         "max_tries": 2,
