--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,7 @@
 CONTACT_S, CATCH_UP_S, DRAIN_S, GRACE_S, BEAT_S, APPLY_S = 3.0, 4.0, 2.5, 6.0, 1.5, 2.5
 HOST = "orders.example"
 KEY, TENANT = "ctnfzs989anu6wsjnban", "sese880"
+PACE_S = 0.05  # between two parts of a request that is sent slowly
 CAPACITY, QUEUE = 2, 8  # of a backend, as in the small deployments
 
 BOUNDS = """
@@ -133,6 +134,16 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+async def send_paced(writer: asyncio.StreamWriter, data: bytes, bytes_per_s: float) -> None:
+    """Writes data, at once or no faster than this rate. Raises OSError."""
+    step = int(bytes_per_s * PACE_S) or len(data)
+    for start in range(0, len(data), step):
+        writer.write(data[start : start + step])
+        await writer.drain()
+        if step < len(data):
+            await asyncio.sleep(PACE_S)
+
+
 async def call_once(address: tuple[str, int], request: bytes, timeout_s: float = 1.0) -> Http | None:
     """Sends one request over a connection of its own; returns None if no whole answer came in time."""
     writer = None
@@ -491,8 +502,10 @@
         self.platform, self.gateway = platform, gateway
         self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def request(self, method: str, path: str, body: bytes = b"", wait_s: float = 6.0) -> Outcome:
-        """Makes one try, and records what was sent and what came."""
+    async def request(
+        self, method: str, path: str, body: bytes = b"", *, wait_s: float = 6.0, bytes_per_s: float = 0.0
+    ) -> Outcome:
+        """Makes one try, and records what was sent and what came. With `bytes_per_s` the request is sent no faster."""
         attempt_id = f"{random.getrandbits(40):010x}{next(self.ids):06x}"
         headers = {"Host": HOST, "Attempt-Id": attempt_id, "Api-Key": KEY, "Deadline-Ms": str(int(wait_s * 1000))}
         record, reused, sent_at = self.platform.record, self.streams is not None, now()
@@ -503,8 +516,7 @@
                 if self.streams is None:
                     self.streams = await asyncio.open_connection(*self.platform.front(self.gateway))
                 reader, writer = self.streams
-                writer.write(request_bytes(method, path, headers, body))
-                await writer.drain()
+                await send_paced(writer, request_bytes(method, path, headers, body), bytes_per_s)
                 answer = await read_http(reader)
                 reason = "" if answer else "connection closed"
         except TimeoutError:
@@ -553,12 +565,15 @@
     record.add("case begins", trouble=with_trouble)
 
     async def limited() -> list[str]:
+        task = asyncio.current_task()
+        assert task
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110):
             return await case(record, with_trouble)
 
     try:
         breaks = asyncio.run(limited())
-    except Exception as error:  # whatever fails here is no break of the rule
+    except (Exception, asyncio.CancelledError) as error:  # whatever fails here is no break of the rule
         record.add("case could not run", reason=repr(error))
         print(f"could not run: {error!r}")
         sys.exit(2)
