Review: a case that is stopped half way ends all that it started

Cause: processes that a case was about to restart survived its end. Change: the platform stand-in keeps each process and starts none after its end.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -157,9 +157,9 @@
             await asyncio.sleep(PAUSE_S)
         watch.cancel()
     finally:
+        await platform.close()
         for backend in backends:
             await backend.close()
-        await platform.close()
     return breaks
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -187,6 +187,8 @@
         self.gateways = {f"edge-{n}": f"127.{self.block}.2.{n}" for n in range(1, gateways + 1)}
         self.running: dict[str, asyncio.subprocess.Process] = {}
         self.started: set[str] = set()
+        self.processes: list[asyncio.subprocess.Process] = []  # every one that was started
+        self.closed = False
 
     def control_addresses(self) -> list[tuple[str, int]]:
         """Returns the addresses that serve the control plane."""
@@ -226,7 +228,13 @@
         return path
 
     async def start(self, name: str) -> None:
-        """Starts a process."""
+        """Starts a process.
+
+        Raises:
+            CaseFailed: The case has ended.
+        """
+        if self.closed:
+            raise CaseFailed("the case has ended")
         settings = self.write_settings(name)
         kept = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         environment = kept | {"STONEYOKE_NODE_FILE": str(settings), "PYTHONPATH": str(ROOT / "target/deps")}
@@ -235,6 +243,7 @@
             self.running[name] = await asyncio.create_subprocess_exec(
                 *command, cwd=ROOT, env=environment | {"PYTHONDONTWRITEBYTECODE": "1"}, stdout=log, stderr=log
             )
+        self.processes.append(self.running[name])
         self.started.add(name)
         self.record.add("platform starts", name=name)
 
@@ -276,7 +285,12 @@
 
     async def close(self) -> None:
         """Kills every process and removes the folder."""
-        await self.kill(*list(self.running))
+        self.closed = True
+        for process in self.processes:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
