A gateway logs what it leaves unanswered at its exit after SIGTERM

Change: log lines for SIGTERM, the close of the listener and the exit; a warning and the count "requests: unanswered at the exit" for each request that was read and not answered; the buffered lines are written if there is one. Behaviour as before.

--- a/stoneyoke/gateway/request_handler.py
+++ b/stoneyoke/gateway/request_handler.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from loguru import logger
+
 from stoneyoke.gateway.admission import ADMITTED, Admission
 from stoneyoke.gateway.forwarding import ForwardedRequest, ForwardingContext
 from stoneyoke.gateway.instance_directory import InstanceDirectory
@@ -119,11 +121,16 @@
         """
         self.draining, self.services.backends.may_cancel_attempts = True, False
         drain_s = min(DRAIN_S, 0.5 * grace_s)
-        self.respond_by_us = self.clock.now() + int((grace_s - EXIT_MARGIN_S) * 1_000_000)
+        sigterm_at = self.clock.now()
+        self.respond_by_us = sigterm_at + int((grace_s - EXIT_MARGIN_S) * 1_000_000)
+        logger.info("SIGTERM: draining; new connections are accepted for {:.2f} s more", drain_s)
         await asyncio.sleep(drain_s)
         await self.close_idle_connections()
         stop_listening()
+        closed_s = (self.clock.now() - sigterm_at) / 1_000_000
+        logger.info("shutdown: no new connections are accepted from {:.2f} s after SIGTERM on", closed_s)
         await self.finish_pending(max(FINISH_MIN_S, grace_s - drain_s - LATE_CONNECTION_GRACE_S - EXIT_MARGIN_S))
+        self.report_unanswered(sigterm_at)
 
     async def respond(self, client: ClientConnection, message: Message) -> None:
         """Responds to one message of a connection, and closes the connection after it while the gateway drains."""
--- a/stoneyoke/net/client_connection.py
+++ b/stoneyoke/net/client_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum, auto
 
-from stoneyoke.net.message_reader import MessageReader
+from stoneyoke.net.message_reader import Message, MessageReader
 from stoneyoke.net.stream import StreamProtocol, has_unread_bytes
 from stoneyoke.runtime.pending_request import PendingRequest
 
@@ -33,12 +33,15 @@
     Attributes:
         messages: Reads the requests that arrive on it.
         accepted_at: When it was accepted, in microseconds.
+        completed_at: When the message that is being answered was complete, in microseconds; 0 before the first.
         phase_started_us: When its phase began, in microseconds. READING and RESPONDING count from the first byte of the
             message; a response that waits for the client to read it counts from the write.
         next_message_at: In the phase RESPONDING, when the first byte after the current request arrived, in
             microseconds; else 0.
         phase: See Phase.
         silent: No complete message has arrived yet.
+        target: The target of the message that is being answered, or was answered last.
+        response_started: The response to that message has been passed to the transport, at least in part.
         pending: The request that is being forwarded; None if there is none.
         disconnected: The client has closed its side, or the connection is lost.
     """
@@ -48,9 +51,11 @@
         self.protocol, self.writer = protocol, writer
         self.messages = MessageReader(protocol.reader, responses=False)
         self.accepted_at = self.phase_started_us = now
-        self.next_message_at = 0
+        self.completed_at = self.next_message_at = 0
         self.phase = Phase.IDLE
         self.silent = True
+        self.target = b""
+        self.response_started = False
         self.pending: PendingRequest | None = None
         self.disconnected = False
 
@@ -66,9 +71,10 @@
         if self.pending:
             self.pending.owner.client_gone(self.pending)
 
-    def message_complete(self) -> None:
+    def message_complete(self, message: Message, now: int) -> None:
         """Notes that a message is complete, and its response is pending."""
-        self.phase, self.silent = Phase.RESPONDING, False
+        self.phase, self.silent, self.response_started = Phase.RESPONDING, False, False
+        self.target, self.completed_at = message.target, now
 
     def response_written(self, now: int) -> None:
         """Notes that a response is written. Input that has arrived in the meantime belongs to the next message."""
--- a/stoneyoke/net/http_server.py
+++ b/stoneyoke/net/http_server.py
@@ -18,6 +18,7 @@
 from stoneyoke.net.message_writer import status_line, write_message
 from stoneyoke.net.reply import CLIENT_GONE, Reply
 from stoneyoke.net.stream import StreamProtocol
+from stoneyoke.net.unanswered import UNANSWERED_AT_EXIT, UnansweredRequest, unanswered_requests
 from stoneyoke.runtime.clock import Clock
 from stoneyoke.runtime.metrics import Metrics
 
@@ -137,7 +138,7 @@
         """Answers the requests of a connection one after another, until either side closes it."""
         writer = client.writer
         while message := await client.messages.next():
-            client.message_complete()
+            client.message_complete(message, self.clock.now())
             self.connections.silent.pop(client, None)
             await self.respond(client, message)
             if client.disconnected:  # further requests that it has sent are not answered
@@ -174,7 +175,7 @@
 
     def write_response(self, client: ClientConnection, message: Message, response: Reply) -> None:
         """Writes a response, with "Connection: close" if the connection is closed after it."""
-        headers = response.headers
+        headers, client.response_started = response.headers, True
         if not message.keep_alive or self.closes_after_response(client):
             message.keep_alive = False
             headers += b"Connection: close\r\n"
@@ -213,6 +214,25 @@
 
     # ---- shutdown ----
 
+    def report_unanswered(self, sigterm_at: int) -> list[UnansweredRequest]:
+        """Logs and counts the requests that are unanswered now, when the process exits, and returns them.
+
+        Args:
+            sigterm_at: When SIGTERM was received, in microseconds of the clock.
+        """
+        unanswered = unanswered_requests(self.connections.open.values())
+        logger.info(
+            "shutdown: exiting {:.2f} s after SIGTERM, {} connections open, {} requests unanswered",
+            (self.clock.now() - sigterm_at) / 1_000_000,
+            len(self.connections.open),
+            len(unanswered),
+        )
+        for request in unanswered:
+            read_s = (request.completed_at - sigterm_at) / 1_000_000
+            detail = f"{request.target!r}, read {read_s:.2f} s after SIGTERM: {request.state.value}"
+            self.metrics.report(UNANSWERED_AT_EXIT, detail)
+        return unanswered
+
     async def close_idle_connections(self) -> None:
         """Closes the idle connections and, from now on, each other connection after its response.
 
--- a/stoneyoke/programs/gateway.py
+++ b/stoneyoke/programs/gateway.py
@@ -23,6 +23,7 @@
 from stoneyoke.net.message_reader import MessageReader
 from stoneyoke.net.message_writer import status_line, write_message
 from stoneyoke.net.stream import StreamProtocol
+from stoneyoke.net.unanswered import UNANSWERED_AT_EXIT
 from stoneyoke.programs.log_buffer import LogBuffer, configure_logging
 from stoneyoke.programs.metrics_server import METRICS_PORT, MetricsServer
 from stoneyoke.programs.settings import InvalidSettings, Settings, read_settings
@@ -186,6 +187,8 @@
             task.cancel()
         self.control_client.config_sync.close()
         logger.info("counts: {}", self.metrics.summary())
+        if self.metrics.counts[UNANSWERED_AT_EXIT]:
+            log_buffer.dump()
 
     def figures(self) -> str:
         """Returns the counters and the current gauges as text."""
