A gateway forwards no request that it can't await before the end of its grace period

Cause: nothing between a request's head and its attempt knew that the process has an end. Whatever was read was forwarded, until nothing came any more; at the exit what was in flight was closed, and requests behind it on a connection with it.

Change: gateway/shutdown_schedule.py holds the times of a shutdown, and RequestHandler and ForwardedRequest ask it. From the close of the listener on (2.8 s, at most half of grace_s) a request is forwarded only if its deadline ends before the exit; in the last sixth no attempt starts. What is refused has not run: 503, Retry-After 50 ms. Attempts still in flight 0.4 s before SIGKILL are cancelled, and each request gets its response (502 if it may have run), those behind it 503. The margin shrinks with grace_s, so that nothing is cut before its last sixth (below 2.4 s it was). Two invariants in release builds: "request forwarded too late for the shutdown", "request unanswered at the exit". The single gateway's drain is one function as well.

Cost: new connections are accepted for 2.8 s, not 3.2 s; between 2.8 and 5.6 s requests on open connections with long deadlines are refused at once. Deadlines are compared, not expected times: refusing by these would be sooner still.

--- a/stoneyoke/gateway/forwarding.py
+++ b/stoneyoke/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from stoneyoke.gateway.local_response import local_response
 from stoneyoke.gateway.request_head import Request, client_response_headers, upstream_request_head
 from stoneyoke.gateway.routes import Route, Tenant
+from stoneyoke.gateway.shutdown_schedule import NO_SHUTDOWN, ShutdownSchedule
 from stoneyoke.gateway.upstreams import MISDIRECTED_REQUEST, RANKS_MAX, Upstream, Upstreams
 from stoneyoke.net.attempt import OutgoingRequest
 from stoneyoke.net.backends import Backends
@@ -22,8 +23,12 @@
 from stoneyoke.runtime.metrics import Metrics
 from stoneyoke.runtime.pending_request import Decision, PendingRequest, RequestDescription
 
+SHUTDOWN_REFUSALS = "requests: refused in the shutdown"
+# A client that returns at once meets another gateway, since this one accepts no new connections then.
+RETRY_AFTER_SHUTDOWN_US = 50_000
 
-@dataclass(frozen=True, slots=True, kw_only=True)
+
+@dataclass(slots=True, kw_only=True)
 class ForwardingContext:
     """The components that all forwarded requests of a gateway share.
 
@@ -33,6 +38,7 @@
         backends: The connections to backends.
         upstreams: The services, each with its decision logic.
         instance_directory: The backend instances that controllers have reported.
+        schedule: Until when requests are forwarded; replaced when SIGTERM is received.
     """
 
     clock: Clock
@@ -40,6 +46,12 @@
     backends: Backends
     upstreams: Upstreams
     instance_directory: InstanceDirectory
+    schedule: ShutdownSchedule = NO_SHUTDOWN
+
+    def shutdown_response(self, request: Request) -> Reply:
+        """Returns the response to a request that has not run and is not forwarded, as too little time is left."""
+        self.metrics.add(SHUTDOWN_REFUSALS)
+        return local_response(self.metrics, request, 503, "this gateway shuts down", RETRY_AFTER_SHUTDOWN_US)
 
 
 class ForwardedRequest:
@@ -129,7 +141,7 @@
         """Sends the request to one backend and waits for its outcome."""
         context, now = self.context, self.context.clock.now()
         known_instance = context.upstreams.instances.get(backend)
-        if known_instance is None:
+        if known_instance is None or not context.schedule.may_start_attempt(now, self.deadline_us):
             return AttemptOutcome.NOT_SENT, None
         instance = known_instance.row.instance
         outgoing = OutgoingRequest(
@@ -166,6 +178,8 @@
         if decision is None and self.pending.client_gone:
             return CLIENT_GONE
         if not self.may_have_run:
+            if not self.context.schedule.may_start_attempt(self.context.clock.now(), self.deadline_us):
+                return self.context.shutdown_response(self.request)
             if decision is None:
                 return self.local_response(503, "no backend in time", self.route.target_us)
             if isinstance(decision, Reject):
--- a/stoneyoke/gateway/request_handler.py
+++ b/stoneyoke/gateway/request_handler.py
@@ -3,7 +3,6 @@
 `RequestHandler.handle` performs these steps in this order. `forwarding.py` makes the attempts at backends.
 """
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,25 +15,24 @@
 from stoneyoke.gateway.quota_client import QuotaClient
 from stoneyoke.gateway.request_head import Request
 from stoneyoke.gateway.routes import Route, RoutingTable, Tenant
+from stoneyoke.gateway.shutdown_schedule import ShutdownSchedule
 from stoneyoke.gateway.upstreams import Upstreams
 from stoneyoke.net.backends import Backends
 from stoneyoke.net.client_connection import ClientConnection
 from stoneyoke.net.descriptor_budget import DescriptorBudget
-from stoneyoke.net.http_server import LATE_CONNECTION_GRACE_S, HttpServer
+from stoneyoke.net.http_server import HttpServer
 from stoneyoke.net.message_reader import Message
 from stoneyoke.net.reply import CLIENT_GONE, Reply
+from stoneyoke.net.unanswered import UnansweredRequest, UnansweredState
 from stoneyoke.runtime.clock import Clock
 from stoneyoke.runtime.metrics import Metrics
 
 # The response is determined this long before the client's deadline, so that it arrives in time.
 RESPONSE_MARGIN_US = 15_000
 RETRY_AFTER_NO_CONFIGURATION_US = 500_000
-# How long the gateway accepts new requests after SIGTERM; at most half of the grace period. The platform checks
-# readiness once a second and stops sending clients to a gateway after two failed checks. Requests that were sent to
-# this gateway before that may still be on their way.
-DRAIN_S = 3.2
-EXIT_MARGIN_S = 0.4  # all responses are sent this long before the grace period ends with SIGKILL
-FINISH_MIN_S = 0.1
+ATTEMPTS_CUT = "requests: cut at the end of the grace period"
+LATE_REQUEST_CUT = "request forwarded too late for the shutdown"
+UNANSWERED = "request unanswered at the exit"
 NO_TENANT = Tenant("", 0, 0.0, 0.0)
 
 
@@ -113,24 +111,47 @@
 
         From this call on, no attempt is cancelled because its backend is silent. There may be no other backend to
         retry at, and this gateway would respond with an error of its own although the backend is still producing the
-        response (RULES, LOST).
+        response (RULES, LOST). A request that is read too late for that is not forwarded (`ShutdownSchedule`): its
+        client is told that it has not run, and sends it to another gateway.
 
         Args:
             grace_s: The time from SIGTERM to SIGKILL, in seconds.
             stop_listening: Closes the listener.
         """
+        sigterm_at_us = self.clock.now()
         self.draining, self.services.backends.may_cancel_attempts = True, False
-        drain_s = min(DRAIN_S, 0.5 * grace_s)
-        sigterm_at = self.clock.now()
-        self.respond_by_us = sigterm_at + int((grace_s - EXIT_MARGIN_S) * 1_000_000)
-        logger.info("SIGTERM: draining; new connections are accepted for {:.2f} s more", drain_s)
-        await asyncio.sleep(drain_s)
-        await self.close_idle_connections()
+        schedule = self.forwarding.schedule = ShutdownSchedule.after_sigterm(sigterm_at_us, grace_s)
+        self.respond_by_us = schedule.respond_by_us
+        logger.info("SIGTERM: draining, the grace period is {} s", grace_s)
+        await self.wait_until(schedule.close_idle_at_us)
+        self.close_idle_connections()
+        await self.wait_until(schedule.accept_until_us)
         stop_listening()
-        closed_s = (self.clock.now() - sigterm_at) / 1_000_000
-        logger.info("shutdown: no new connections are accepted from {:.2f} s after SIGTERM on", closed_s)
-        await self.finish_pending(max(FINISH_MIN_S, grace_s - drain_s - LATE_CONNECTION_GRACE_S - EXIT_MARGIN_S))
-        self.report_unanswered(sigterm_at)
+        logger.info("shutdown: no new connections are accepted; {} are open", len(self.connections.open))
+        if not await self.finish_pending(schedule.respond_by_us):
+            self.end_attempts()
+            await self.finish_pending(schedule.exit_by_us)
+        self.check_answered(self.report_unanswered(sigterm_at_us))
+
+    def end_attempts(self) -> None:
+        """Cancels the attempts in flight near the end of the grace period, so that each client gets a response.
+
+        Without it, the exit would close their connections, and requests behind them on the same connection would not
+        even learn that they have not run.
+        """
+        clients = [one for one in self.connections.open.values() if one.pending and one.pending.has_attempt()]
+        self.services.backends.may_cancel_attempts = True
+        for upstream in self.services.upstreams.upstreams.values():
+            upstream.runtime.cancel_attempts()
+        for client in clients:
+            self.metrics.add(ATTEMPTS_CUT)
+            in_time = client.completed_at < self.forwarding.schedule.accept_until_us
+            self.metrics.check_invariant(in_time, LATE_REQUEST_CUT)
+
+    def check_answered(self, unanswered: list[UnansweredRequest]) -> None:
+        """Checks that each request has been answered, though its client may not have read all of the response."""
+        for request in unanswered:
+            self.metrics.check_invariant(request.state is UnansweredState.RESPONSE_UNREAD, UNANSWERED)
 
     async def respond(self, client: ClientConnection, message: Message) -> None:
         """Responds to one message of a connection, and closes the connection after it while the gateway drains."""
@@ -160,6 +181,8 @@
         now, deadline_us = self.clock.now(), response_deadline_us(client, request, route)
         if deadline_us <= now:
             return local_response(self.metrics, request, 503, "its time is up", route.target_us)
+        if not self.forwarding.schedule.may_forward(now, deadline_us):
+            return self.forwarding.shutdown_response(request)
         if tenant.rate_per_s > 0:
             retry_after_us = await self.check_quota(client, tenant, deadline_us - now)
             if retry_after_us:
--- a/stoneyoke/net/http_server.py
+++ b/stoneyoke/net/http_server.py
@@ -1,7 +1,6 @@
 """Serves HTTP/1.1 to clients: connections, health checks, malformed messages and the shutdown."""
 
 import asyncio
-import contextlib
 import sys
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -23,9 +22,6 @@
 from stoneyoke.runtime.metrics import Metrics
 
 LINGER_S = 1.0  # how long input is discarded after a malformed message was rejected, before the connection is closed
-# A request can cross with the close of its idle connection. The client then sends it again over a new connection, which
-# the listener accepts for this long after the idle connections were closed.
-LATE_CONNECTION_GRACE_S = 0.2
 # The server shuts down after this many successive checks, IDLE_CHECK_INTERVAL_S apart, that found no request in flight.
 IDLE_CHECKS = 3
 IDLE_CHECK_INTERVAL_S = 0.02
@@ -214,48 +210,56 @@
 
     # ---- shutdown ----
 
-    def report_unanswered(self, sigterm_at: int) -> list[UnansweredRequest]:
+    def report_unanswered(self, sigterm_at_us: int) -> list[UnansweredRequest]:
         """Logs and counts the requests that are unanswered now, when the process exits, and returns them.
 
         Args:
-            sigterm_at: When SIGTERM was received, in microseconds of the clock.
+            sigterm_at_us: When SIGTERM was received, in microseconds of the clock.
         """
         unanswered = unanswered_requests(self.connections.open.values())
         logger.info(
             "shutdown: exiting {:.2f} s after SIGTERM, {} connections open, {} requests unanswered",
-            (self.clock.now() - sigterm_at) / 1_000_000,
+            (self.clock.now() - sigterm_at_us) / 1_000_000,
             len(self.connections.open),
             len(unanswered),
         )
         for request in unanswered:
-            read_s = (request.completed_at - sigterm_at) / 1_000_000
+            read_s = (request.completed_at - sigterm_at_us) / 1_000_000
             detail = f"{request.target!r}, read {read_s:.2f} s after SIGTERM: {request.state.value}"
             self.metrics.report(UNANSWERED_AT_EXIT, detail)
         return unanswered
 
-    async def close_idle_connections(self) -> None:
+    def close_idle_connections(self) -> None:
         """Closes the idle connections and, from now on, each other connection after its response.
 
-        Returns after LATE_CONNECTION_GRACE_S, so that requests that crossed with a close can be sent again over new
-        connections.
+        A request can cross with the close. Its client sends it again over a new connection, so the listener stays open
+        for a while longer.
         """
         self.shutting_down = True
         self.connections.close_idle()
-        await asyncio.sleep(LATE_CONNECTION_GRACE_S)
 
-    async def finish_pending(self, time_limit_s: float) -> None:
-        """Returns once no request is in flight, or at the time limit.
+    async def wait_until(self, time_us: int) -> None:
+        """Waits until a time, in microseconds of the clock."""
+        await asyncio.sleep(max(0, time_us - self.clock.now()) / 1_000_000)
+
+    async def finish_pending(self, until_us: int) -> bool:
+        """Waits until no request is in flight, at most until `until_us`, in microseconds of the clock.
 
         A message that has arrived in part, or waits on a socket, counts as in flight too. A connection that is accepted
-        in this iteration of the event loop is visible only in the next one, hence several successive checks. (In the
-        run roll+mass, 1 of some 47,000 RPCs was not answered; it arrived 0.3 s before the shutdown.)
+        in this iteration of the event loop is visible only in the next one, hence several successive checks.
+
+        Returns:
+            Whether no request is in flight.
         """
-        with contextlib.suppress(TimeoutError):  # what is still pending then is a response that nobody reads
-            async with asyncio.timeout(time_limit_s):
+        try:
+            async with asyncio.timeout_at(self.clock.loop_time(until_us)):
                 idle_checks = 0
                 while idle_checks < IDLE_CHECKS:
                     await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
                     idle_checks = 0 if self.has_work() else idle_checks + 1
+        except TimeoutError:
+            return False
+        return True
 
     def has_work(self) -> bool:
         """Whether a client waits for a response, or a disconnected client's attempt runs that must not be cancelled."""
--- a/stoneyoke/runtime/runtime.py
+++ b/stoneyoke/runtime/runtime.py
@@ -186,6 +186,12 @@
         """Returns the number of attempts in flight whose client has disconnected."""
         return sum(request.client_gone and request.has_attempt() for request in self.pending.values())
 
+    def cancel_attempts(self) -> None:
+        """Cancels each attempt in flight, unless its server protects it (`Backends.may_cancel_attempts`)."""
+        for request in list(self.pending.values()):
+            if request.cancel_attempt:
+                request.cancel_attempt(request.attempts_started - 1, False)
+
     def close_request(self, request: PendingRequest) -> None:
         """Closes a request whose response is decided, or whose client has disconnected.
 
--- a/stoneyoke/single_gateway/program.py
+++ b/stoneyoke/single_gateway/program.py
@@ -176,9 +176,7 @@
         logger.info("SIGTERM: serving continues while clients change to other gateways, then pending requests finish")
         if self.peers:
             self.peers.leave()
-        await self.clients.drain()
-        self.server.close()
-        await self.clients.finish_pending(self.clients.longest_deadline_s)
+        await self.clients.drain(self.server.close)
         self.discovery.stop()
         self.maintenance.cancel()
         self.log_counts()
--- a/stoneyoke/single_gateway/rpc_handler.py
+++ b/stoneyoke/single_gateway/rpc_handler.py
@@ -1,6 +1,7 @@
 """Answers the RPCs of clients: reads the head, requests decisions of the decision logic, and forwards to backends."""
 
 import asyncio
+from collections.abc import Callable
 
 from stoneyoke.control.actions import FailRpc, Reject, StartAttempt
 from stoneyoke.control.parameters import AttemptOutcome
@@ -9,7 +10,7 @@
 from stoneyoke.net.client_connection import ClientConnection
 from stoneyoke.net.descriptor_budget import DescriptorBudget
 from stoneyoke.net.errors import MalformedMessage
-from stoneyoke.net.http_server import LATE_CONNECTION_GRACE_S, HttpServer
+from stoneyoke.net.http_server import HttpServer
 from stoneyoke.net.message_reader import Message
 from stoneyoke.net.reply import CLIENT_GONE, Reply
 from stoneyoke.runtime.pending_request import PendingRequest
@@ -24,6 +25,12 @@
 KILL_MARGIN_S = 0.7
 DEADLINE_MIN_S = 3.0
 DRAIN_S = 1.5
+# A request can cross with the close of its idle connection. The client then sends it again over a new connection, which
+# the listener accepts for this long after the idle connections were closed.
+LATE_CONNECTION_GRACE_S = 0.2
+RESPONSE_LEAD_S = 0.2  # every RPC is answered this long before SIGKILL
+EXIT_LEAD_S = 0.1  # the process exits this long before SIGKILL
+SECOND_US = 1_000_000
 ATTEMPT_TIMEOUT_MIN_S = 0.001  # the shortest Req-Deadline that is sent to a backend
 
 
@@ -127,12 +134,23 @@
         retry_after = b"Retry-After: %.3f\r\n" % (decision.retry_after_us / 1_000_000)
         return Reply(429, headers=retry_after if self.runtime.parameters.sends_retry_after else b"")
 
-    async def drain(self) -> None:
-        """After SIGTERM, serves as before for DRAIN_S, then closes the idle connections."""
-        time_to_kill_s = max(self.longest_deadline_s, DEADLINE_MIN_S) + KILL_MARGIN_S
-        self.respond_by_us = self.clock.now() + int((time_to_kill_s - LATE_CONNECTION_GRACE_S) * 1_000_000)
+    async def drain(self, stop_listening: Callable[[], None]) -> None:
+        """After SIGTERM, serves as before for DRAIN_S, closes the idle connections, and finishes the pending RPCs.
+
+        No deadline ends after `respond_by_us`, so each RPC that is read is answered before the process exits.
+
+        Args:
+            stop_listening: Closes the listener.
+        """
+        sigterm_at_us = self.clock.now()
+        kill_at_us = sigterm_at_us + int((max(self.longest_deadline_s, DEADLINE_MIN_S) + KILL_MARGIN_S) * SECOND_US)
+        self.respond_by_us = kill_at_us - int(RESPONSE_LEAD_S * SECOND_US)
         await asyncio.sleep(DRAIN_S)
-        await self.close_idle_connections()
+        self.close_idle_connections()
+        await asyncio.sleep(LATE_CONNECTION_GRACE_S)
+        stop_listening()
+        await self.finish_pending(kill_at_us - int(EXIT_LEAD_S * SECOND_US))
+        self.report_unanswered(sigterm_at_us)
 
 
 def content_type_line(response: Message) -> bytes:
--- a/tests/net/test_client_connections.py
+++ b/tests/net/test_client_connections.py
@@ -152,5 +152,6 @@
         assert (await client.request(rpc()))[0] == 200
         sock = client.writer.get_extra_info("socket")
         socket.socket(fileno=socket.dup(sock.fileno())).send(rpc())
-        await gateway.program.clients.finish_pending(gateway.program.clients.longest_deadline_s)
+        clients = gateway.program.clients
+        await clients.finish_pending(clients.clock.now() + int(clients.longest_deadline_s * 1_000_000))
         assert gateway.count("RPCs: ok") == 2
--- a/tests/system/gateway_fixture.py
+++ b/tests/system/gateway_fixture.py
@@ -103,6 +103,7 @@
         scripted_backends: The instances i-0, i-1, ... of the service.
         change: Changes the example configuration before it is put in force.
         service: The service that the backends belong to.
+        clock: The gateway's clock; None for one that shows the real time.
     """
 
     def __init__(
@@ -110,12 +111,14 @@
         scripted_backends: list[ScriptedBackend],
         change: Callable[[dict[str, Any]], Any] | None = None,
         service: str = "quay",
+        clock: Clock | None = None,
     ) -> None:
+        self.clock = clock or Clock()
         self.scripted_backends, self.change, self.service = scripted_backends, change, service
         self.requests_sent = 0
 
     async def __aenter__(self) -> Self:
-        self.clock, self.metrics = Clock(), Metrics()
+        self.metrics = Metrics()
         descriptor_budget = DescriptorBudget(200, 20)
         limits = BackendLimits(connect_timeout_us=300_000, idle_timeout_us=4_000_000, response_max_bytes=1 << 20)
         self.backends = Backends(self.clock, self.metrics, descriptor_budget, limits)
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -289,7 +289,6 @@
         status, headers, _ = await gateway.send()
         assert status == 200 and headers["connection"] == b"close"
         ended = []
-        gateway.handler.LATE_CONNECTION_GRACE_S = 0
         await gateway.handler.drain(0.6, lambda: ended.append(1))
         assert ended and not gateway.handler.connections.open
 
