--- a/stoneyoke/programs/gateway.py
+++ b/stoneyoke/programs/gateway.py
@@ -9,7 +9,7 @@
 import sys
 import time
 
-from absl import app, flags
+from absl import app
 from loguru import logger
 
 from stoneyoke.api.configuration import Configuration
@@ -27,13 +27,11 @@
 from stoneyoke.programs.log_buffer import LogBuffer, configure_logging
 from stoneyoke.programs.metrics_server import METRICS_PORT, MetricsServer
 from stoneyoke.programs.settings import InvalidSettings, Settings, read_settings
+from stoneyoke.programs.settings_flag import SETTINGS
 from stoneyoke.runtime.clock import Clock
 from stoneyoke.runtime.metrics import Metrics
 from stoneyoke.runtime.metrics_text import metrics_text
 
-SETTINGS = flags.DEFINE_string(
-    "settings", None, "The settings file. Default: the file that the environment variable STONEYOKE_NODE_FILE names."
-)
 CONNECT_TIMEOUT_US = 300_000  # for a connection to a backend
 IDLE_TIMEOUT_US = 4_000_000  # for a connection to a backend
 RESERVED_DESCRIPTORS = 300  # for files, the event loop, listeners and connections to controllers
@@ -42,7 +40,12 @@
 
 
 class GatewayProgram:
-    """A gateway's components, created from its settings."""
+    """A gateway's components, created from its settings.
+
+    Attributes:
+        settings: The settings of the start. Of a reload, only the seeds and the grace period have an effect.
+        grace_s: The time from SIGTERM to SIGKILL, in seconds, by the latest valid settings.
+    """
 
     def __init__(self, settings: Settings) -> None:
         """Creates and connects the components; `serve` runs them.
@@ -93,6 +96,7 @@
         )
         self.front = RequestHandler(self.clock, self.metrics, descriptor_budget, free, services)
         self.draining = False
+        self.grace_s = settings.bounds.grace_s
         self.settings_file_signature = self.read_file_signature()
 
     # ---- called by the control client ----
@@ -137,13 +141,17 @@
             return 0.0, 0
 
     def reload(self) -> None:
-        """Reloads the settings file after SIGHUP or a change of the file, and pulls from new controllers in it."""
+        """Reloads the settings file after SIGHUP or a change of the file.
+
+        The gateway pulls from new controllers in it, and a later shutdown uses its grace period.
+        """
         self.settings_file_signature = self.read_file_signature()
         try:
             settings = read_settings(SETTINGS.value)
         except InvalidSettings as error:
             logger.error("reload: can't load the settings file, the current settings stay in force: {}", error)
             return
+        self.grace_s = settings.bounds.grace_s
         for seed in settings.seeds:
             self.instance_directory.add_controller(seed)
         self.control_client.config_sync.follow_controllers()
@@ -181,7 +189,7 @@
         gc.freeze()
         await ended.wait()
         self.draining = self.front.draining = True
-        await self.front.drain(self.settings.bounds.grace_s, front.close)
+        await self.front.drain(self.grace_s, front.close)
         ready.close()
         for task in tasks:
             task.cancel()
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -5,12 +5,16 @@
 import tempfile
 from pathlib import Path
 
+from absl import flags
 from configurations import example, route
+from event_loop import on_loop
 from ward import each, fixture, raises, test
 
 from stoneyoke.api.configuration import read_configuration
 from stoneyoke.api.errors import InvalidField
 from stoneyoke.programs.commands.configuration import differences
+from stoneyoke.programs.controller import ControllerProgram
+from stoneyoke.programs.gateway import GatewayProgram
 from stoneyoke.programs.log_buffer import LogBuffer
 from stoneyoke.programs.settings import InvalidSettings, parse_settings, read_settings
 from stoneyoke.storage.record_store import RecordStore
@@ -78,6 +82,39 @@
         read_settings(os.path.join(folder, "none.toml"))
 
 
+SETTINGS_TEXT = """
+[self]
+node_name = "a-1"
+ip_addr = "127.0.0.1"
+zone_name = "east"
+data_dir = "{folder}"
+[network]
+port_range = [7340, 7355]
+seed_addrs = ["10.1.0.33:8783"]
+[network.binds]
+front_addr = "127.0.0.1:8782"
+ready_addr = "127.0.0.1:8789"
+control_addr = "127.0.0.1:8783"
+[term_set.bound_set]
+grace_s = {grace_s}
+"""
+
+
+@test("a shutdown uses the grace period of the latest valid settings file, not that of the start")
+@on_loop
+async def _(folder=folder, make_program=each(GatewayProgram, ControllerProgram)):
+    path = Path(folder, "settings.toml")
+    path.write_text(SETTINGS_TEXT.format(folder=folder, grace_s=6))
+    flags.FLAGS(["program", f"--settings={path}"])
+    program = make_program(read_settings(path))
+    if isinstance(program, ControllerProgram):
+        program.controller.add_peers = lambda *_: None  # needs a started controller
+    for text, grace_s in ((SETTINGS_TEXT.format(folder=folder, grace_s=3.5), 3.5), ("[self", 3.5)):
+        path.write_text(text)
+        program.reload()
+        assert program.grace_s == grace_s
+
+
 @test("with a truncated settings file a program exits with status 2 and one line that names the file")
 def _(folder=folder, program=each("gateway", "controller")):
     path = os.path.join(folder, "cut.toml")
