A controller answers the calls that it has read before it exits after SIGTERM

Callers saw: a backend or an operator whose call waits for the other voters when its controller ends heard nothing; it called again elsewhere.

Cause: after its vote was handed over, the program closed the API's listener and exited 0.3 s later, whatever was in flight; a call waits up to 0.85 s for a majority.

Change: HttpApi.shut_down counts calls in flight and returns once each has its response, after a second at the latest (a caller waits no longer), a quarter of grace_s at most; responses from then on close their connections.

--- a/stoneyoke/controlplane/http_api.py
+++ b/stoneyoke/controlplane/http_api.py
@@ -1,6 +1,7 @@
 """The HTTP/1.1 server for the calls of instances and operators."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import cast
@@ -20,7 +21,13 @@
 
 
 class HttpApi:
-    """Reads HTTP requests, passes them to a handler as calls, and writes the responses."""
+    """Reads HTTP requests, passes them to a handler as calls, and writes the responses.
+
+    Attributes:
+        calls_in_flight: The number of calls that have been read and have no response yet.
+        call_ended: Set when a call gets its response.
+        shutting_down: Whether each connection is closed after its next response.
+    """
 
     def __init__(self, handle: Callable[[ApiCall], Awaitable[ApiResult]], max_body_bytes: int) -> None:
         """Makes a server that does not listen yet.
@@ -30,6 +37,9 @@
             max_body_bytes: requests with a longer body are rejected.
         """
         self.handle, self.max_body_bytes = handle, max_body_bytes
+        self.calls_in_flight = 0
+        self.call_ended = asyncio.Event()
+        self.shutting_down = False
 
     async def open(self, address: tuple[str, int]) -> None:
         """Listens at an IP address and port.
@@ -40,9 +50,20 @@
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(lambda: StreamProtocol(self.serve), *address, backlog=ACCEPT_BACKLOG)
 
-    def close(self) -> None:
-        """Stops accepting connections; established ones continue."""
+    async def shut_down(self, time_limit_s: float) -> None:
+        """Stops accepting connections and waits until each call that has been read has its response.
+
+        Args:
+            time_limit_s: the method returns after this many seconds at the latest.
+        """
+        self.shutting_down = True
         self.server.close()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(time_limit_s):
+                while self.calls_in_flight:
+                    self.call_ended.clear()
+                    await self.call_ended.wait()
+        logger.info("the API for instances and operators is closed; {} calls have no response", self.calls_in_flight)
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one connection until it is closed, is idle for IDLE_TIMEOUT_S seconds, or sends malformed HTTP."""
@@ -64,11 +85,22 @@
                 message = await messages.next()
             if message is None:
                 return
-            self._write(writer, await self._handle_request(message), keep_alive=message.keep_alive)
-            if not message.keep_alive:
+            if not await self._respond(message, writer):
                 return
             await writer.drain()
 
+    async def _respond(self, message: Message, writer: asyncio.StreamWriter) -> bool:
+        """Handles one request and writes its response; returns whether the connection stays open."""
+        self.calls_in_flight += 1
+        try:
+            result = await self._handle_request(message)
+            keep_alive = message.keep_alive and not self.shutting_down
+            self._write(writer, result, keep_alive=keep_alive)
+        finally:
+            self.calls_in_flight -= 1
+            self.call_ended.set()
+        return keep_alive
+
     async def _handle_request(self, message: Message) -> ApiResult:
         try:
             call = read_call(message.method.decode("ascii"), message.target.decode("ascii"), message.body)
--- a/stoneyoke/programs/controller.py
+++ b/stoneyoke/programs/controller.py
@@ -24,6 +24,8 @@
 MISSED_HEARTBEATS = 2.4  # a backend counts as silent after this many heartbeat intervals, plus SILENCE_MARGIN_S
 SILENCE_MARGIN_S = 0.5
 TRANSFER_SHARE = 0.5  # of the grace period, in which the vote is handed over
+CALLS_MAX_S = 1.0  # callers move on to another controller after a second
+CALLS_MAX_SHARE = 0.25  # of the grace period
 LINGER_S = 0.3  # how long the last calls of peers are still served after the operators' API has closed
 
 
@@ -87,9 +89,9 @@
         logger.info("controller {} is serving; the cluster has {} voters", settings.name, voters)
 
     async def shut_down(self) -> None:
-        """Hands over the vote, then closes the operators' API and the peers' listener."""
+        """Hands over the vote, answers the calls that have been read, then closes the peers' listener."""
         await self.controller.transfer_vote(TRANSFER_SHARE * self.grace_s)
-        self.http_api.close()
+        await self.http_api.shut_down(min(CALLS_MAX_S, CALLS_MAX_SHARE * self.grace_s))
         await asyncio.sleep(LINGER_S)
         self.peer_server.close()
 
