A test: the single gateway answers what waits behind an RPC at work until its exit

The single gateway bounds every deadline by its exit, so each RPC has its response before; no test showed it for an RPC that was read behind another one.

Change: a test on sockets, with the times of the shutdown shortened. No code is changed.

--- a/tests/net/test_reload_and_end.py
+++ b/tests/net/test_reload_and_end.py
@@ -73,6 +73,30 @@
         await shutdown
 
 
+@runs_on_loop
+async def test_an_rpc_at_work_until_the_exit_and_the_one_behind_it_get_their_responses(monkeypatch):
+    # Guards against an exit that leaves an RPC without any response because another one is at work in front of it.
+    monkeypatch.setattr(rpc_handler, "DRAIN_S", 0.0)
+    monkeypatch.setattr(rpc_handler, "DEADLINE_MIN_S", 0.0)
+    monkeypatch.setattr(rpc_handler, "KILL_MARGIN_S", -1.3)  # the longest deadline of these settings is 2 s
+
+    async def never_respond(_, writer):
+        await writer.wait_closed()
+
+    async with GatewayUnderTest(never_respond) as gateway, gateway.connect() as client:
+        shutdown = asyncio.create_task(gateway.program.shut_down())
+        await asyncio.sleep(0)
+        client.writer.write(
+            rpc(b"order", Req_Deadline="2.000") + rpc(b"order", Req_Id="r-behind", Req_Deadline="2.000")
+        )
+        first, second = await client.receive(), await client.receive()
+        # 429 also for the first: the backends recognise a repeat of an order, so it may be sent again although it ran.
+        assert (first[0], second[0]) == (429, 429) and second[1][b"Connection"] == b"close"
+        assert len(gateway.backend.requests) == 1
+        await shutdown
+        assert not gateway.program.metrics.violations and not gateway.count("requests: unanswered at the exit")
+
+
 @pytest.mark.parametrize(
     "unusable",
     ["{", None, {"counter": "x:y"}, {"settings": {}}, {"settings": SETTINGS | {"clients": 7}}, {"seed": "-"}],
