--- a/stoneyoke/lab/soak/__main__.py
+++ b/stoneyoke/lab/soak/__main__.py
@@ -19,7 +19,7 @@
 
 SEEDS = flags.DEFINE_string("seeds", "1", "A seed, or a range such as 1-20.")
 SECONDS = flags.DEFINE_float("seconds", 14.0, "How long traffic lasts for each seed.", lower_bound=1, upper_bound=600)
-GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=2, upper_bound=20)
+GATEWAYS = flags.DEFINE_integer("gateways", 3, "Gateways.", lower_bound=2, upper_bound=200)
 RATE = flags.DEFINE_float("rate", 40.0, "Requests a second.", lower_bound=1, upper_bound=200)
 ROLLS = flags.DEFINE_bool("rolls", False, "Restart gateways in series, under clients that keep their connections.")
 KEPT = flags.DEFINE_integer("kept", 12, "Clients that keep their connections, with --rolls.", lower_bound=1)
